--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -174,3 +174,9 @@
 	KeyHostLost = define(3006, "key-host-lost", http.StatusConflict, Unknown,
 		"The host incarnation that the key is bound to is gone.", "Check whether it took effect before using a new key.")
 )
+
+// Peers and backend servers.
+var (
+	BadAnnouncement = define(6101, "bad-announcement", http.StatusBadRequest, NotRun,
+		"The announcement of a backend server is malformed.", "Correct the announcement; docs/backend-servers.md lists its fields.")
+)
--- /dev/null
+++ b/internal/forward/headers.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tarragonford/tarragonford/api"
+	"github.com/tarragonford/tarragonford/internal/codes"
+)
+
+// Path is the path of the traffic listener that takes hops.
+const Path = "/v1/forward"
+
+// Header names of a hop.
+const (
+	headerPrefix      = "Tarragon-Hop-"
+	headerToken       = headerPrefix + "Token"
+	headerID          = headerPrefix + "Id"
+	headerAttempt     = headerPrefix + "Attempt"
+	headerService     = headerPrefix + "Service"
+	headerServer      = headerPrefix + "Server"
+	headerIncarnation = headerPrefix + "Incarnation"
+	headerMethod      = headerPrefix + "Method"
+	headerPath        = headerPrefix + "Path"
+	headerIdempotent  = headerPrefix + "Idempotent"
+	headerKey         = headerPrefix + "Key"
+	headerCallerKey   = headerPrefix + "Caller-Key"
+	headerAccount     = headerPrefix + "Account"
+	headerWeight      = headerPrefix + "Weight"
+	headerDeadline    = headerPrefix + "Deadline-Us"
+	headerStatus      = headerPrefix + "Status"
+	headerRunning     = headerPrefix + "Running"
+	headerQueued      = headerPrefix + "Queued"
+	headerCode        = headerPrefix + "Code"
+	headerDetail      = headerPrefix + "Detail"
+	headerReplayed    = headerPrefix + "Replayed"
+	headerFenced      = headerPrefix + "Fenced"
+)
+
+// Token returns the credential of a hop, derived from the fleet's secret.
+func Token(secret string) string {
+	mac := hmac.New(sha256.New, []byte(secret))
+	mac.Write([]byte("tarragonford traffic"))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+// hopByHop lists the headers of one connection that RFC 9110, section 7.6.1,
+// keeps from being passed on.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// CopyEndToEnd copies the headers that concern the ends of a path, leaving out
+// those of one connection and those of this system's hops.
+func CopyEndToEnd(dst, src http.Header) {
+	for name, values := range src {
+		if strings.HasPrefix(name, headerPrefix) || name == "Content-Length" {
+			continue
+		}
+		dst[name] = values
+	}
+	for _, value := range src["Connection"] {
+		for _, name := range strings.Split(value, ",") {
+			dst.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		dst.Del(name)
+	}
+}
+
+func (r *Request) encode(h http.Header, token string, now time.Time) {
+	CopyEndToEnd(h, r.Header)
+	h.Del(api.HeaderIdempotencyKey)
+	h.Set(headerToken, token)
+	h.Set(headerID, r.ID)
+	h.Set(headerAttempt, strconv.Itoa(r.Attempt))
+	h.Set(headerService, r.Service)
+	h.Set(headerServer, r.Server)
+	h.Set(headerIncarnation, strconv.FormatUint(r.ServerIncarnation, 10))
+	h.Set(headerMethod, r.Method)
+	h.Set(headerPath, r.Path)
+	h.Set(headerDeadline, strconv.FormatInt(r.Deadline.Sub(now).Microseconds(), 10))
+	if r.Idempotent {
+		h.Set(headerIdempotent, "1")
+	}
+	setIfPresent(h, headerKey, r.Key)
+	setIfPresent(h, headerCallerKey, r.CallerKey)
+	setIfPresent(h, headerAccount, r.Account)
+	if r.Weight != 0 {
+		h.Set(headerWeight, strconv.FormatFloat(r.Weight, 'g', -1, 64))
+	}
+}
+
+func setIfPresent(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+// decode reads the metadata of a hop. The body is read by the caller.
+func decode(h http.Header, now time.Time) (*Request, error) {
+	r := &Request{
+		ID:         h.Get(headerID),
+		Service:    h.Get(headerService),
+		Server:     h.Get(headerServer),
+		Method:     h.Get(headerMethod),
+		Path:       h.Get(headerPath),
+		Idempotent: h.Get(headerIdempotent) == "1",
+		Key:        h.Get(headerKey),
+		CallerKey:  h.Get(headerCallerKey),
+		Account:    h.Get(headerAccount),
+		Header:     http.Header{},
+	}
+	if r.ID == "" || r.Server == "" || r.Method == "" || !strings.HasPrefix(r.Path, "/") {
+		return nil, codes.BadRequest.New("a header of the hop is missing")
+	}
+	attempt, err := strconv.Atoi(h.Get(headerAttempt))
+	if err != nil {
+		return nil, codes.BadRequest.Wrap(err, "attempt")
+	}
+	r.Attempt = attempt
+	if r.ServerIncarnation, err = strconv.ParseUint(h.Get(headerIncarnation), 10, 64); err != nil {
+		return nil, codes.BadRequest.Wrap(err, "incarnation")
+	}
+	deadline, err := strconv.ParseInt(h.Get(headerDeadline), 10, 64)
+	if err != nil {
+		return nil, codes.BadRequest.Wrap(err, "deadline")
+	}
+	r.Deadline = now.Add(time.Duration(deadline) * time.Microsecond)
+	if weight := h.Get(headerWeight); weight != "" {
+		if r.Weight, err = strconv.ParseFloat(weight, 64); err != nil {
+			return nil, codes.BadRequest.Wrap(err, "weight")
+		}
+	}
+	CopyEndToEnd(r.Header, h)
+	return r, nil
+}
--- /dev/null
+++ b/internal/host/attach.go
@@ -0,0 +1,243 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/tarragonford/tarragonford/api"
+	"github.com/tarragonford/tarragonford/internal/blackboard"
+	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/fleet"
+	"github.com/tarragonford/tarragonford/internal/forward"
+	"github.com/tarragonford/tarragonford/internal/problem"
+)
+
+const (
+	// announceExpiry is how long a server is kept without an announcement:
+	// three repeats of one second.
+	announceExpiry = 3500 * time.Millisecond
+	// maxAnnouncement bounds the body of an announcement in bytes.
+	maxAnnouncement = 4096
+	maxSlots        = 10_000
+)
+
+// attached is a backend server beside this node. Its fields do not change; a
+// new incarnation is a new value.
+type attached struct {
+	id          string
+	service     string
+	addr        string
+	incarnation uint64
+	slots       int
+	admit       admitter
+	// refusing is set while the server is leaving or withdrawn.
+	refusing atomic.Bool
+}
+
+func (a *attached) load() forward.Load {
+	return forward.Load{Running: a.admit.Running(), Queued: a.admit.Queued()}
+}
+
+// Attachments takes announcements and keeps the servers of this node's record.
+// It is a controller; apart from Handler, it runs on the control goroutine.
+type Attachments struct {
+	host     *Host
+	board    *blackboard.Board
+	lastSeen map[string]time.Time
+}
+
+// NewAttachments returns the controller of the servers attached to host.
+func NewAttachments(host *Host, board *blackboard.Board) *Attachments {
+	return &Attachments{host: host, board: board, lastSeen: map[string]time.Time{}}
+}
+
+// Name implements blackboard.Controller.
+func (a *Attachments) Name() string { return "attachments" }
+
+// Step implements blackboard.Controller. It drops servers that stopped
+// announcing themselves and marks those that must take no new work. After a
+// pause of the process the age of an announcement says nothing, because the
+// repeats could not arrive.
+func (a *Attachments) Step(now time.Time, e *blackboard.Entries) {
+	if e.TickGap > announceExpiry/2 {
+		a.restartExpiry(now)
+	}
+	for id, seen := range a.lastSeen {
+		if now.Sub(seen) > announceExpiry {
+			a.detach(e, id)
+		}
+	}
+	for id, server := range *a.host.servers.Load() {
+		if record, ok := e.Self().Server(id); ok {
+			server.refusing.Store(record.Leaving || withdrawn(now, e, record))
+		}
+	}
+}
+
+func (a *Attachments) restartExpiry(now time.Time) {
+	for id := range a.lastSeen {
+		a.lastSeen[id] = now
+	}
+}
+
+func withdrawn(now time.Time, e *blackboard.Entries, record *fleet.ServerRecord) bool {
+	for _, withdrawal := range e.Config().Withdrawals {
+		if withdrawal.ActiveAt(now) && withdrawal.Covers(e.Self(), record) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Attachments) detach(e *blackboard.Entries, id string) {
+	delete(a.lastSeen, id)
+	a.setServer(id, nil)
+	e.UpdateSelf(func(r *fleet.NodeRecord) bool {
+		kept := r.Servers[:0]
+		for _, server := range r.Servers {
+			if server.ID != id {
+				kept = append(kept, server)
+			}
+		}
+		r.Servers = kept
+		return true
+	})
+}
+
+// setServer replaces the map that traffic goroutines read.
+func (a *Attachments) setServer(id string, server *attached) {
+	old := *a.host.servers.Load()
+	next := make(map[string]*attached, len(old)+1)
+	for key, value := range old {
+		next[key] = value
+	}
+	if server == nil {
+		delete(next, id)
+	} else {
+		next[id] = server
+	}
+	a.host.servers.Store(&next)
+}
+
+// announce stores an announcement and returns the reply to it.
+func (a *Attachments) announce(e *blackboard.Entries, announcement api.Announcement) api.AnnounceReply {
+	now := time.Now()
+	server, known := (*a.host.servers.Load())[announcement.ID]
+	if known && announcement.Incarnation < server.incarnation {
+		return api.AnnounceReply{Node: e.Self().ID}
+	}
+	a.lastSeen[announcement.ID] = now
+	if !known || server.incarnation != announcement.Incarnation || server.addr != announcement.Addr || server.slots != announcement.Slots {
+		server = newAttached(announcement)
+		a.setServer(announcement.ID, server)
+	}
+	if announcement.Leaving {
+		server.refusing.Store(true)
+	}
+	e.UpdateSelf(func(r *fleet.NodeRecord) bool { return upsert(r, announcement, now) })
+	running := server.load().Running + server.load().Queued
+	return api.AnnounceReply{
+		Node:    e.Self().ID,
+		Running: running,
+		Drained: server.refusing.Load() && running == 0,
+	}
+}
+
+func newAttached(announcement api.Announcement) *attached {
+	return &attached{
+		id:          announcement.ID,
+		service:     announcement.Service,
+		addr:        announcement.Addr,
+		incarnation: announcement.Incarnation,
+		slots:       announcement.Slots,
+		admit:       newSlots(announcement.Slots),
+	}
+}
+
+// upsert writes the announcement into the record and reports a change. A new
+// incarnation starts healthy and cold.
+func upsert(r *fleet.NodeRecord, announcement api.Announcement, now time.Time) bool {
+	server, ok := r.Server(announcement.ID)
+	if !ok {
+		r.Servers = append(r.Servers, fleet.ServerRecord{ID: announcement.ID})
+		server = &r.Servers[len(r.Servers)-1]
+	}
+	before := *server
+	if server.Incarnation != announcement.Incarnation {
+		*server = fleet.ServerRecord{
+			ID:          announcement.ID,
+			Incarnation: announcement.Incarnation,
+			DataCentre:  r.DataCentre,
+			Health:      fleet.Healthy,
+			HealthSince: now.Round(0),
+		}
+		if announcement.WarmUpMS > 0 {
+			server.WarmUntil = now.Round(0).Add(time.Duration(announcement.WarmUpMS) * time.Millisecond)
+		}
+	}
+	server.Service = announcement.Service
+	server.Addr = announcement.Addr
+	server.Slots = announcement.Slots
+	server.ConnLimit = announcement.ConnLimit
+	server.Leaving = announcement.Leaving
+	return *server != before
+}
+
+// Handler returns the HTTP handler of the attach listener.
+func (a *Attachments) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(api.PathAnnounce, a.serveAnnounce).Methods(http.MethodPost)
+	return router
+}
+
+func (a *Attachments) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	announcement, err := decodeAnnouncement(w, r)
+	if err != nil {
+		problem.Write(w, "", codes.Of(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Second)
+	defer cancel()
+	var reply api.AnnounceReply
+	err = a.board.Call(ctx, func(e *blackboard.Entries) { reply = a.announce(e, announcement) })
+	if err != nil {
+		problem.Write(w, "", codes.NotReady.Wrap(err, "the control goroutine is busy"))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The status line is out already; a broken connection shows at the server.
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+func decodeAnnouncement(w http.ResponseWriter, r *http.Request) (api.Announcement, error) {
+	var announcement api.Announcement
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	if err := decoder.Decode(&announcement); err != nil {
+		return announcement, codes.BadAnnouncement.Wrap(err, "the body is not an announcement")
+	}
+	return announcement, validate(announcement)
+}
+
+func validate(announcement api.Announcement) error {
+	switch {
+	case announcement.ID == "" || announcement.Service == "":
+		return codes.BadAnnouncement.New("id and service must not be empty")
+	case announcement.Slots < 1 || announcement.Slots > maxSlots:
+		return codes.BadAnnouncement.New("slots must be from 1 to %d", maxSlots)
+	case announcement.Incarnation == 0:
+		return codes.BadAnnouncement.New("incarnation must not be 0")
+	case announcement.WarmUpMS < 0:
+		return codes.BadAnnouncement.New("warm_up_ms must not be negative")
+	}
+	host, _, err := net.SplitHostPort(announcement.Addr)
+	if err != nil || net.ParseIP(host) == nil {
+		return codes.BadAnnouncement.New("addr must be an IP address and a port")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/host/dispatch.go
@@ -0,0 +1,200 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/tarragonford/tarragonford/api"
+	"github.com/tarragonford/tarragonford/internal/atmostonce"
+	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/detect"
+	"github.com/tarragonford/tarragonford/internal/forward"
+)
+
+// admitAndSend waits for a slot, dispatches the request and returns the reply.
+// The slot is held until the answer has been read to its end.
+func (h *Host) admitAndSend(ctx context.Context, server *attached, r *forward.Request, claim *atmostonce.Claim) *forward.Reply {
+	permit, err := server.admit.Admit(ctx, r.Account, r.Weight, r.Deadline)
+	if err != nil {
+		return forward.Refuse(err)
+	}
+	started := time.Now()
+	release := func() { permit.Release(time.Since(started)) }
+	if err := h.mayDispatch(r, claim); err != nil {
+		release()
+		return forward.Refuse(err)
+	}
+	reply := h.observe(ctx, server, r, started)
+	if reply.Answer != nil && reply.Answer.Rest != nil {
+		reply.Answer.Rest = &afterClose{ReadCloser: reply.Answer.Rest, after: release}
+		return reply
+	}
+	release()
+	return reply
+}
+
+// mayDispatch is the last check before the request may reach the server. The
+// process may have been paused since the checks at its arrival.
+func (h *Host) mayDispatch(r *forward.Request, claim *atmostonce.Claim) error {
+	if h.stale() {
+		return codes.Stale.New("the host was paused and refreshes its view")
+	}
+	if !time.Now().Before(r.Deadline) {
+		return codes.DeadlinePassed.New("the deadline passed before the request was dispatched")
+	}
+	if claim == nil {
+		return nil
+	}
+	if err := claim.Dispatch(); err != nil {
+		return codes.Fenced.New("the request was fenced before it was dispatched")
+	}
+	return nil
+}
+
+// observe sends the request and reports its start and end to detection.
+func (h *Host) observe(ctx context.Context, server *attached, r *forward.Request, started time.Time) *forward.Reply {
+	event := detect.Event{
+		Target:  server.id,
+		Service: server.service,
+		Request: h.sequence.Add(1),
+		At:      started,
+	}
+	h.options.Events.Emit(event)
+	reply := h.send(ctx, server, r)
+	event.At = time.Now()
+	event.Finished = true
+	event.Latency = event.At.Sub(started)
+	event.Result = resultOf(ctx, reply)
+	h.options.Events.Emit(event)
+	return reply
+}
+
+// resultOf classifies a reply as evidence about the server.
+func resultOf(ctx context.Context, reply *forward.Reply) detect.Result {
+	if reply.Err == nil {
+		if reply.Answer.Status >= http.StatusInternalServerError {
+			return detect.Failure
+		}
+		return detect.Success
+	}
+	switch {
+	case errors.Is(reply.Err, codes.ServerShed.New("")):
+		return detect.Shed
+	case errors.Is(ctx.Err(), context.Canceled):
+		return detect.Cancelled
+	case errors.Is(reply.Err, codes.DeadlineExceeded.New("")):
+		return detect.Timeout
+	}
+	return detect.Failure
+}
+
+func (h *Host) send(ctx context.Context, server *attached, r *forward.Request) *forward.Reply {
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	request, err := serverRequest(ctx, server, r)
+	if err != nil {
+		return forward.Refuse(codes.BadRequest.Wrap(err, "request line"))
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return sendFailure(ctx, err, connected)
+	}
+	return h.readReply(ctx, response, r)
+}
+
+// serverRequest builds the request to the backend server. GetBody is nil and
+// the key travels under a name of its own, so that net/http does not send a
+// non-idempotent request a second time when a kept connection breaks.
+func serverRequest(ctx context.Context, server *attached, r *forward.Request) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+server.addr+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	forward.CopyEndToEnd(request.Header, r.Header)
+	request.Header.Del(api.HeaderIdempotencyKey)
+	request.Header.Set(api.HeaderRequestID, r.ID)
+	request.Header.Set(api.HeaderServerIncarnation, strconv.FormatUint(server.incarnation, 10))
+	request.Header.Set(api.HeaderDeadline, strconv.FormatInt(max(1, time.Until(r.Deadline).Milliseconds()), 10))
+	if r.Account != "" {
+		request.Header.Set(api.HeaderAccount, r.Account)
+	}
+	if r.CallerKey != "" {
+		request.Header.Set(api.HeaderServerKey, r.CallerKey)
+	}
+	return request, nil
+}
+
+func sendFailure(ctx context.Context, err error, connected bool) *forward.Reply {
+	if !connected {
+		return forward.Refuse(codes.ServerUnreachable.Wrap(err, "no connection to the backend server"))
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return forward.Refuse(codes.DeadlineExceeded.New("the backend server gave no answer in time"))
+	}
+	return forward.Refuse(codes.AnswerLost.Wrap(err, "the connection to the backend server broke"))
+}
+
+func (h *Host) readReply(ctx context.Context, response *http.Response, r *forward.Request) *forward.Reply {
+	if response.Header.Get(api.HeaderNotRun) == "1" {
+		response.Body.Close()
+		return forward.Refuse(codes.ServerShed.New("the backend server shed the request"))
+	}
+	if response.Header.Get(api.HeaderRequestID) != r.ID {
+		response.Body.Close()
+		return forward.Refuse(codes.WrongAnswer.New("the backend server answered another request"))
+	}
+	length := response.ContentLength
+	if r.Method == http.MethodHead {
+		length = 0
+	}
+	body, rest, err := forward.ReadBuffered(response.Body, h.options.BufferedAnswer, length)
+	if err != nil {
+		response.Body.Close()
+		return cutAnswer(ctx, err)
+	}
+	answer := &forward.Answer{Status: response.StatusCode, Header: http.Header{}, Body: body, Rest: rest}
+	forward.CopyEndToEnd(answer.Header, response.Header)
+	answer.Header.Del(api.HeaderServerIncarnation)
+	return &forward.Reply{Answer: answer}
+}
+
+func cutAnswer(ctx context.Context, err error) *forward.Reply {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return forward.Refuse(codes.DeadlineExceeded.New("the answer of the backend server was not whole in time"))
+	}
+	return forward.Refuse(codes.AnswerLost.Wrap(err, "the answer of the backend server was cut"))
+}
+
+// afterClose runs a function once when the reader is closed.
+type afterClose struct {
+	io.ReadCloser
+	after func()
+}
+
+// Close implements io.Closer.
+func (a *afterClose) Close() error {
+	err := a.ReadCloser.Close()
+	if a.after != nil {
+		a.after()
+		a.after = nil
+	}
+	return err
+}
+
+// closeWith runs cancel when the answer has been read, or at once if it is whole.
+func closeWith(reply *forward.Reply, cancel context.CancelFunc) {
+	if reply.Answer == nil || reply.Answer.Rest == nil {
+		cancel()
+		return
+	}
+	reply.Answer.Rest = &afterClose{ReadCloser: reply.Answer.Rest, after: cancel}
+}
