--- /dev/null
+++ b/internal/fleet/keyformat.go
@@ -0,0 +1,11 @@
+package fleet
+
+import "fmt"
+
+// ChangeKey returns the key of the change row of one value of the counter.
+func ChangeKey(version uint64) string { return fmt.Sprintf("%s%012d", PrefixChange, version) }
+
+// AuditKey returns the key of the audit row of one step of an intent.
+func AuditKey(intent string, step int) string {
+	return fmt.Sprintf("%s%s/%06d", PrefixAudit, intent, step)
+}
--- /dev/null
+++ b/internal/platform/limited.go
@@ -0,0 +1,103 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Rates of the platform that the stand-in keeps to.
+const (
+	// DefaultWritesPerSecond is the number of rows or objects written per second.
+	DefaultWritesPerSecond = 500
+	// DefaultReadsPerSecond is the number of get and scan calls per second.
+	DefaultReadsPerSecond = 2000
+)
+
+// bucket is a token bucket that holds the tokens of one second.
+type bucket struct {
+	mu     sync.Mutex
+	rate   float64
+	tokens float64
+	last   time.Time
+}
+
+func newBucket(rate float64) *bucket {
+	return &bucket{rate: rate, tokens: rate, last: time.Now()}
+}
+
+// take removes cost tokens if any are left. The level may fall below zero, so
+// that a call that costs more than one second's tokens is possible.
+func (b *bucket) take(cost float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.tokens = min(b.rate, b.tokens+now.Sub(b.last).Seconds()*b.rate)
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens -= cost
+	return true
+}
+
+// Limited is a Store and Objects that refuses calls above a rate with
+// ErrRateLimited before they take effect. A read call costs one read; a
+// transaction costs one write for each row that it writes.
+type Limited struct {
+	store   Store
+	objects Objects
+	writes  *bucket
+	reads   *bucket
+}
+
+// NewLimited limits store and objects together to the given writes and reads
+// per second.
+func NewLimited(store Store, objects Objects, writesPerSecond, readsPerSecond float64) *Limited {
+	return &Limited{
+		store:   store,
+		objects: objects,
+		writes:  newBucket(writesPerSecond),
+		reads:   newBucket(readsPerSecond),
+	}
+}
+
+// Get implements Store.
+func (l *Limited) Get(ctx context.Context, table, key string) (Row, error) {
+	if !l.reads.take(1) {
+		return Row{Key: key}, ErrRateLimited
+	}
+	return l.store.Get(ctx, table, key)
+}
+
+// Scan implements Store.
+func (l *Limited) Scan(ctx context.Context, table, prefix, after string, limit int) ([]Row, error) {
+	if !l.reads.take(1) {
+		return nil, ErrRateLimited
+	}
+	return l.store.Scan(ctx, table, prefix, after, limit)
+}
+
+// Transact implements Store.
+func (l *Limited) Transact(ctx context.Context, table string, checks []Check, writes []Write) error {
+	if !l.writes.take(float64(max(1, len(writes)))) {
+		return ErrRateLimited
+	}
+	return l.store.Transact(ctx, table, checks, writes)
+}
+
+// GetObject implements Objects.
+func (l *Limited) GetObject(ctx context.Context, name string) (Object, error) {
+	if !l.reads.take(1) {
+		return Object{Name: name}, ErrRateLimited
+	}
+	return l.objects.GetObject(ctx, name)
+}
+
+// PutObject implements Objects.
+func (l *Limited) PutObject(ctx context.Context, name string, data []byte, ifVersion uint64) (uint64, error) {
+	if !l.writes.take(1) {
+		return 0, ErrRateLimited
+	}
+	return l.objects.PutObject(ctx, name, data, ifVersion)
+}
