--- /dev/null
+++ b/internal/telemetry/logger.go
@@ -0,0 +1,54 @@
+package telemetry
+
+import (
+	"io"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/tarragonford/tarragonford/internal/settings"
+)
+
+// The log formats of settings.Telemetry.
+const (
+	formatJSON    = "json"
+	formatConsole = "console"
+)
+
+func newLogger(node settings.Node, version string, out io.Writer) (*zap.Logger, zap.AtomicLevel, error) {
+	level, err := zap.ParseAtomicLevel(node.Telemetry.LogLevel)
+	if err != nil {
+		return nil, level, trace.BadParameter("log level %q is not known: use debug, info, warn or error", node.Telemetry.LogLevel)
+	}
+	encoder, err := newEncoder(node.Telemetry.LogFormat)
+	if err != nil {
+		return nil, level, trace.Wrap(err)
+	}
+	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(out)), level)
+	return zap.New(core).With(nodeFields(node, version)...), level, nil
+}
+
+func newEncoder(format string) (zapcore.Encoder, error) {
+	config := zap.NewProductionEncoderConfig()
+	config.TimeKey = "time"
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	switch format {
+	case formatJSON, "":
+		return zapcore.NewJSONEncoder(config), nil
+	case formatConsole:
+		return zapcore.NewConsoleEncoder(config), nil
+	}
+	return nil, trace.BadParameter("log format %q is not known: use json or console", format)
+}
+
+func nodeFields(node settings.Node, version string) []zap.Field {
+	return []zap.Field{
+		zap.String("service", ServiceName),
+		zap.String("version", version),
+		zap.String("node", node.ID),
+		zap.String("region", node.Region),
+		zap.String("data_centre", node.DataCentre),
+	}
+}
