Add the node process, the fence service and the backend stand-in

Cause: the parts of the request path need a process around them. Change: internal/node builds and drains a node, internal/fence carries fence calls, internal/backend is a backend server with faults and its own record.

--- a/cmd/tarragon-standin/main.go
+++ b/cmd/tarragon-standin/main.go
@@ -33,6 +33,7 @@
 func subcommands() []subcommand {
 	return []subcommand{
 		{"platform", "Serve the platform's table and object store from memory", &platformCommand{}},
+		{"server", "Serve one backend server", &serverCommand{}},
 	}
 }
 
--- /dev/null
+++ b/cmd/tarragond/main.go
@@ -0,0 +1,84 @@
+// Command tarragond is one node of the proxy fleet.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/tarragonford/tarragonford/internal/buildinfo"
+	"github.com/tarragonford/tarragonford/internal/node"
+	"github.com/tarragonford/tarragonford/internal/settings"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+type options struct {
+	Config  string `long:"config" required:"yes" value-name:"FILE" description:"YAML file with the settings"`
+	Version func() `long:"version" description:"print the version and exit"`
+}
+
+func main() {
+	opts := options{Version: func() {
+		fmt.Println("tarragond", buildinfo.Version())
+		os.Exit(0)
+	}}
+	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
+		os.Exit(usage(err))
+	}
+	config, err := settings.Load(opts.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "tarragond:", err)
+		os.Exit(exitUsage)
+	}
+	if err := run(config); err != nil {
+		fmt.Fprintln(os.Stderr, "tarragond:", err)
+		os.Exit(exitFailure)
+	}
+}
+
+func usage(err error) int {
+	var flagsError *flags.Error
+	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+		fmt.Println(flagsError.Message)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return exitUsage
+}
+
+// run serves until the first SIGTERM or SIGINT, which starts a graceful stop.
+// A second signal ends the process at once.
+func run(config settings.Node) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	t, err := telemetry.New(ctx, config, buildinfo.Version())
+	if err != nil {
+		return err
+	}
+	defer t.Shutdown(context.Background())
+	n, err := node.New(config, t)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+		<-signals
+		cancel()
+	}()
+	return n.Run(ctx, stop)
+}
--- /dev/null
+++ b/internal/entry/balancer.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tarragonford/tarragonford/internal/fleet"
+	"github.com/tarragonford/tarragonford/internal/forward"
+	"github.com/tarragonford/tarragonford/internal/route"
+)
+
+// routerBalancer is the Balancer of a node, over package route.
+type routerBalancer struct{ router *route.Router }
+
+// NewBalancer returns a Balancer that uses router.
+func NewBalancer(router *route.Router) Balancer { return &routerBalancer{router} }
+
+// sharedSource draws from the generator of math/rand/v2, which is safe for
+// concurrent use and keeps a state for each thread.
+type sharedSource struct{}
+
+// Uint64 implements route.Source.
+func (sharedSource) Uint64() uint64 { return rand.Uint64() }
+
+// Choose implements Balancer.
+func (b *routerBalancer) Choose(now time.Time, view *fleet.View, r *forward.Request, tried []string) (*fleet.Candidate, bool) {
+	return b.router.Choose(sharedSource{}, now, view, route.Query{
+		Service:    r.Service,
+		Idempotent: r.Idempotent,
+		Exclude:    tried,
+	})
+}
+
+// Started implements Balancer.
+func (b *routerBalancer) Started(server string) { b.router.Loads().Server(server).Begin() }
+
+// Finished implements Balancer.
+func (b *routerBalancer) Finished(server string, reply *forward.Reply, now time.Time) {
+	load := b.router.Loads().Server(server)
+	load.End()
+	if reply.HasLoad {
+		load.Report(now, reply.Load.Running, reply.Load.Queued)
+	}
+}
+
+// Fresh implements Balancer.
+func (b *routerBalancer) Fresh(service fleet.Service, _ time.Time) {
+	b.router.Budget(service.Name).Fresh(service.RetryRatio)
+}
+
+// MayRetry implements Balancer.
+func (b *routerBalancer) MayRetry(service fleet.Service, now time.Time) bool {
+	return b.router.Budget(service.Name).Take(now)
+}
+
+// HedgeDelay implements Balancer.
+func (b *routerBalancer) HedgeDelay(service fleet.Service) (time.Duration, bool) {
+	return b.router.Hedge(service.Name).Delay()
+}
+
+// Answered implements Balancer.
+func (b *routerBalancer) Answered(service fleet.Service, latency time.Duration) {
+	b.router.Hedge(service.Name).Observe(latency)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,233 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/tarragonford/tarragonford/internal/atmostonce"
+	"github.com/tarragonford/tarragonford/internal/blackboard"
+	"github.com/tarragonford/tarragonford/internal/controller"
+	"github.com/tarragonford/tarragonford/internal/entry"
+	"github.com/tarragonford/tarragonford/internal/fence"
+	"github.com/tarragonford/tarragonford/internal/fleet"
+	"github.com/tarragonford/tarragonford/internal/forward"
+	"github.com/tarragonford/tarragonford/internal/gossip"
+	"github.com/tarragonford/tarragonford/internal/host"
+	"github.com/tarragonford/tarragonford/internal/platform"
+	"github.com/tarragonford/tarragonford/internal/route"
+	"github.com/tarragonford/tarragonford/internal/settings"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
+)
+
+// sweepInterval is the time between two removals of expired ledger records.
+const sweepInterval = 10 * time.Second
+
+// Node is the process of one node.
+type Node struct {
+	config    settings.Node
+	telemetry *telemetry.Telemetry
+	listeners *listeners
+	board     *blackboard.Board
+	ledger    *atmostonce.Ledger
+	host      *host.Host
+	entry     *entry.Entry
+	gossip    *gossip.Service
+	store     platform.Store
+	servers   []*http.Server
+	// inFlight counts callers' requests between arrival and the end of their answer.
+	inFlight atomic.Int64
+}
+
+// New builds a node and opens its listeners.
+func New(config settings.Node, t *telemetry.Telemetry) (*Node, error) {
+	l, err := listen(config.Listen)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n := &Node{config: config, telemetry: t, listeners: l}
+	if err := n.build(); err != nil {
+		l.close()
+		return nil, trace.Wrap(err)
+	}
+	return n, nil
+}
+
+func (n *Node) build() error {
+	self := n.firstRecord()
+	n.board = blackboard.New(self)
+	n.store = platform.NewClient(n.config.Platform.URL, platform.ClientOptions{Timeout: n.config.Platform.Timeout})
+	var err error
+	n.gossip, err = gossip.New(gossip.Options{
+		Self:        self,
+		Secret:      n.config.Secret,
+		Listener:    n.listeners.control,
+		Seeds:       n.config.Seeds,
+		Interval:    n.config.Timing.GossipInterval,
+		ForgetAfter: n.config.Timing.ForgetAfter,
+		Log:         n.telemetry.Log,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	n.buildRoles()
+	return nil
+}
+
+// firstRecord describes the node before anything is attached to it.
+func (n *Node) firstRecord() fleet.NodeRecord {
+	return fleet.NodeRecord{
+		ID:          n.config.ID,
+		Region:      n.config.Region,
+		DataCentre:  n.config.DataCentre,
+		Version:     fleet.Version{Incarnation: uint64(time.Now().UnixNano()), Sequence: 1},
+		CallerAddr:  n.listeners.caller.Addr().String(),
+		TrafficAddr: n.listeners.traffic.Addr().String(),
+		ControlAddr: n.listeners.control.Addr().String(),
+		AdminAddr:   n.listeners.admin.Addr().String(),
+	}
+}
+
+func (n *Node) buildRoles() {
+	clock := atmostonce.NewClock()
+	n.ledger = atmostonce.NewLedger(atmostonce.Limits{
+		Entries:   n.config.Limits.LedgerEntries,
+		Bytes:     n.config.Limits.LedgerBytes,
+		Retention: n.config.Timing.FenceRetention,
+	}, clock)
+	signer := atmostonce.NewSigner(n.config.Secret)
+	fences := fence.New(n.gossip, n.board, n.ledger)
+	n.gossip.Handle(fence.MethodFence, fences.HandleFence)
+	n.gossip.Handle(fence.MethodFenceVia, fences.HandleFenceVia)
+	detection := n.newDetection()
+	n.host = host.New(host.Options{
+		Viewer:          n.board,
+		Ledger:          n.ledger,
+		Signer:          signer,
+		Events:          detection.Servers(),
+		BufferedAnswer:  n.config.Limits.BufferedAnswer,
+		FreezeThreshold: n.config.Timing.FreezeThreshold,
+	})
+	n.entry = entry.New(entry.Options{
+		Viewer:          n.board,
+		Local:           n.host,
+		Client:          forward.NewClient(forward.Token(n.config.Secret), n.config.Limits.BufferedAnswer),
+		Balancer:        entry.NewBalancer(route.New(route.NewLoads())),
+		Fencer:          fences,
+		Signer:          signer,
+		Claims:          entry.NewClaims(n.store),
+		Paths:           detection.Paths(),
+		MaxBody:         n.config.Limits.RequestBody,
+		MaxDeadline:     n.config.Limits.MaxDeadline,
+		KeyLifetime:     n.config.Timing.KeyLifetime,
+		FreezeThreshold: n.config.Timing.FreezeThreshold,
+		Done:            n.countRequest,
+	})
+	attachments := host.NewAttachments(n.host, n.board)
+	n.board.Add(attachments, controller.NewMembership(n.gossip), detection)
+	n.buildServers(attachments)
+}
+
+func (n *Node) buildServers(attachments *host.Attachments) {
+	headerBytes := n.config.Limits.HeaderBytes
+	traffic := &forward.Handler{
+		Token:   forward.Token(n.config.Secret),
+		MaxBody: n.config.Limits.RequestBody,
+		Server:  n.host,
+	}
+	n.servers = []*http.Server{
+		newServer(n.counted(n.entry), headerBytes),
+		// A hop adds its own headers to those of the caller.
+		newServer(traffic, 2*headerBytes),
+		newServer(attachments.Handler(), headerBytes),
+		newServer(n.adminHandler(), headerBytes),
+	}
+}
+
+// counted counts the requests in flight, for the graceful stop.
+func (n *Node) counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.inFlight.Add(1)
+		defer n.inFlight.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) countRequest(result entry.Result) {
+	metrics := n.telemetry.Metrics
+	metrics.Requests.With(telemetry.Result{Code: result.Code, Outcome: result.Outcome}).Add(1)
+	metrics.Attempts.Add(int64(result.Attempts))
+	metrics.RequestTime.Observe(result.Latency)
+}
+
+// Run serves until stop is closed, then stops gracefully. It ends at once when
+// ctx ends.
+func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { n.board.Run(ctx); return nil })
+	group.Go(func() error { return ignoreCancel(n.gossip.Run(ctx)) })
+	group.Go(func() error { n.sweep(ctx); return nil })
+	for i, listener := range n.httpListeners() {
+		server := n.servers[i]
+		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	}
+	group.Go(func() error {
+		select {
+		case <-stop:
+			n.drain(ctx)
+		case <-ctx.Done():
+		}
+		cancel()
+		n.closeServers()
+		return nil
+	})
+	n.telemetry.Log.Info("node started", n.addressFields()...)
+	return trace.Wrap(group.Wait())
+}
+
+func (n *Node) addressFields() []zap.Field {
+	return []zap.Field{
+		zap.Stringer("caller", n.listeners.caller.Addr()),
+		zap.Stringer("traffic", n.listeners.traffic.Addr()),
+		zap.Stringer("control", n.listeners.control.Addr()),
+		zap.Stringer("attach", n.listeners.attach.Addr()),
+		zap.Stringer("admin", n.listeners.admin.Addr()),
+	}
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.ledger.Sweep()
+			n.telemetry.Metrics.LedgerEntries.Set(int64(n.ledger.Len()))
+			n.telemetry.Metrics.LedgerBytes.Set(n.ledger.Bytes())
+		}
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func ignoreCancel(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
