Add the detector and the detection and ejection controllers

Change: package detect holds five CUSUM tests (three on outcome, two on latency relative to peers) and a stall test for each target, the four states and the hold times. Servers publish fleet.Observed, three log-spaced buckets, as the standard for their peers. eject.Decide gives places strictly by age, counts a place as long as EjectionAskedAt is set, and lets an ejection take effect only after SettleTime. The controllers write the records.

Ruled out: one test against a mixture of faults, because it is slow for all of them.

Conclusion: first usable state.

--- a/internal/blackboard/snapshot.go
+++ b/internal/blackboard/snapshot.go
@@ -8,8 +8,8 @@
 	"github.com/tarragonford/tarragonford/internal/fleet"
 )
 
-// InvariantFloor counts snapshots in which ejections left less capacity than
-// the floor although more was there.
+// InvariantFloor counts snapshots in which less capacity is routable than the
+// floor although that much is available.
 const InvariantFloor = "floor"
 
 // warmStep is the time between two updates of the warmth of a cold server.
@@ -116,7 +116,7 @@
 	for i := range candidates {
 		candidates[i].Standing = decision.Standings[i]
 	}
-	if decision.RoutableSlots < service.FloorSlots && decision.Granted > 0 {
+	if decision.RoutableSlots < min(service.FloorSlots, decision.AvailableSlots) {
 		e.Invariants[InvariantFloor]++
 	}
 	e.services[name] = &fleet.ServiceView{
@@ -136,12 +136,23 @@
 			Warmth:  candidate.Warmth,
 			Health:  candidate.Server.Health,
 			AskedAt: candidate.Server.EjectionAskedAt,
+			Settled: e.settled(now, candidate.Server.EjectionAskedAt),
 			Gone:    e.gone(now, candidate),
 		}
 	}
 	return members
 }
 
+// settled tells whether an asked ejection may take effect, and makes a
+// snapshot follow when it may.
+func (e *Entries) settled(now, askedAt time.Time) bool {
+	if askedAt.IsZero() || eject.SettledAt(now, askedAt) {
+		return !askedAt.IsZero()
+	}
+	e.wakeAt(askedAt.Add(eject.SettleTime))
+	return false
+}
+
 func (e *Entries) gone(now time.Time, candidate fleet.Candidate) bool {
 	if candidate.Server.Leaving || candidate.Host.Leaving || e.down[candidate.Host.ID] {
 		return true
--- /dev/null
+++ b/internal/detect/params.go
@@ -0,0 +1,119 @@
+package detect
+
+import (
+	"math"
+	"time"
+
+	"github.com/tarragonford/tarragonford/internal/eject"
+)
+
+// Names of the detection presets of a service.
+const (
+	PresetTrust  = "trust"
+	PresetParamo = "paramo"
+)
+
+// Costs weigh the two errors of a detector against each other.
+type Costs struct {
+	// Late is the cost of one more request sent to a server that fails all
+	// of its work.
+	Late float64
+	// False is the cost of ejecting a healthy server once, in the same unit.
+	False float64
+}
+
+// minThreshold and maxThreshold bound the evidence, in nats, that a verdict
+// needs. Below the minimum two failures at a usual background of 0.5% would
+// be enough; the maximum keeps a mistyped cost from switching detection off.
+const (
+	minThreshold = 7.0
+	maxThreshold = 30.0
+)
+
+// PresetCosts returns the costs of a preset; an unknown name gives those of
+// PresetParamo, the more cautious one. A ratio of 6e4 makes three failures in
+// a row enough; 5e8 is 25 times the requests of a million server-seconds at
+// 20 requests/s, so that none of these should bring a false verdict.
+func PresetCosts(preset string) Costs {
+	if preset == PresetTrust {
+		return Costs{Late: 1, False: 6e4}
+	}
+	return Costs{Late: 1, False: 5e8}
+}
+
+// Threshold returns the evidence in nats at which a fault that loses the given
+// share of the work is declared. A CUSUM with threshold ln(n) raises a false
+// alarm at most about once in n observations of a healthy server, and each
+// observation of delay costs the lost share of Late, so the ratio of the two
+// costs is the n that balances them.
+func (c Costs) Threshold(lostShare float64) float64 {
+	if c.Late <= 0 || c.False <= 0 || lostShare <= 0 {
+		return maxThreshold
+	}
+	return min(max(math.Log(c.False/(c.Late*lostShare)), minThreshold), maxThreshold)
+}
+
+// Params are the settings of a Detector that do not differ between services.
+type Params struct {
+	// PauseAllowance is the longest time without any finished request that
+	// is not a fault, beyond the usual p95 latency. Default 200ms.
+	PauseAllowance time.Duration
+	// StallScale is the time without progress, beyond the allowance, that
+	// counts as one nat of evidence. Default 10ms.
+	StallScale time.Duration
+	// Latency enables evidence from the latency of finished requests. Paths
+	// leave it off: the latency of a server says nothing about the path.
+	Latency bool
+	// PeerDelay is the time that published summaries of peers need to show a
+	// change of the whole service. Evidence from latency that lasted longer is
+	// a verdict without a direct look at the peers. Default 5s.
+	PeerDelay time.Duration
+	// Settle is the time during which a verdict may still be withdrawn,
+	// because work continues until the ejection takes effect. Default
+	// eject.SettleTime.
+	Settle time.Duration
+	// Hold is the time a first ejection lasts. Default 10s.
+	Hold time.Duration
+	// MaxHold bounds the hold time of a flapping target. Default 5m.
+	MaxHold time.Duration
+	// HoldDecay is the time in state healthy after which a doubling of the
+	// hold time is taken back. Default 10m.
+	HoldDecay time.Duration
+	// ProbationSuccesses is the number of real successes that end probation.
+	// Default 20.
+	ProbationSuccesses int
+	// SuspectClear is the time for which evidence must stay low before a
+	// suspect target is healthy again. Default 1s.
+	SuspectClear time.Duration
+}
+
+// ServerParams are the parameters for backend servers.
+func ServerParams() Params {
+	return Params{
+		PauseAllowance:     200 * time.Millisecond,
+		StallScale:         10 * time.Millisecond,
+		Latency:            true,
+		PeerDelay:          5 * time.Second,
+		Settle:             eject.SettleTime,
+		Hold:               10 * time.Second,
+		MaxHold:            5 * time.Minute,
+		HoldDecay:          10 * time.Minute,
+		ProbationSuccesses: 20,
+		SuspectClear:       time.Second,
+	}
+}
+
+// PathParams are the parameters for paths from an entry to host nodes. The
+// allowance is longer than a host needs to suspect a stalled server, so that a
+// stalled server is not mistaken for a broken path, and the verdict takes
+// effect at once because it concerns this node alone.
+func PathParams() Params {
+	p := ServerParams()
+	p.PauseAllowance = 800 * time.Millisecond
+	p.Latency = false
+	p.Settle = 0
+	p.Hold = 5 * time.Second
+	p.MaxHold = time.Minute
+	p.ProbationSuccesses = 5
+	return p
+}
--- /dev/null
+++ b/internal/detect/peers.go
@@ -0,0 +1,56 @@
+package detect
+
+import "time"
+
+const (
+	// peerWindow bounds the peers' requests that are kept for a service.
+	peerWindow = 64
+	// confirmShare is the evidence for healthy peers, as a share of the
+	// threshold, that a verdict on latency needs: one request that is clearly
+	// as fast as usual for preset trust, two for preset paramo.
+	confirmShare = 1.0 / 12
+)
+
+// peerSample is one request of another server of the service.
+type peerSample struct {
+	at      time.Time
+	latency time.Duration
+	failed  bool
+}
+
+// peerLog keeps what this node, as an entry, saw of a service at other hosts.
+// It is thinner than the published summaries but shows the present: a summary
+// needs seconds to arrive.
+type peerLog struct {
+	samples [peerWindow]peerSample
+	next    int
+	count   int
+}
+
+func (l *peerLog) add(sample peerSample) {
+	l.samples[l.next] = sample
+	l.next = (l.next + 1) % peerWindow
+	l.count = min(l.count+1, peerWindow)
+}
+
+// support returns the evidence that peers were as fast as the baseline says,
+// from requests that ended after since. It is negative when they were slow. For
+// a path, each answer through another path counts one nat.
+func (l *peerLog) support(s *target, since time.Time) float64 {
+	sum := 0.0
+	after := since.Add(s.baseline.Median)
+	for i := 1; i <= l.count; i++ {
+		sample := l.samples[(l.next-i+peerWindow)%peerWindow]
+		if !sample.at.After(after) {
+			break
+		}
+		switch {
+		case sample.failed:
+		case s.Service == "":
+			sum++
+		default:
+			sum -= s.model.exact[0][gridIndex(sample.latency, s.baseline.Median)]
+		}
+	}
+	return sum
+}
--- a/internal/eject/doc.go
+++ b/internal/eject/doc.go
@@ -5,5 +5,7 @@
 // Planned withdrawals and leaving servers count first. Then the ejections that
 // hosts ask for are granted in the order of asking, until the next one would
 // bring healthy capacity below the floor. The servers whose ejection is held
-// keep a reduced share of the work.
+// keep a reduced share of the work, and so do those whose ejection was asked
+// for less than SettleTime ago. A server keeps its place during probation and
+// until every node has heard of its return.
 package eject
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -72,11 +72,28 @@
 	// HealthSince is the time of the last change of Health, by the host's clock.
 	HealthSince time.Time `json:"since,omitzero"`
 	// EjectionAskedAt is the time at which the host asked for a place in the
-	// ejection budget, by the host's clock; zero if it does not ask. It is set
-	// for servers in state Ejected.
+	// ejection budget, by the host's clock. While it is set the server holds
+	// a place: in states Ejected and Probation, and after its return until
+	// every node has heard of it.
 	EjectionAskedAt time.Time `json:"asked,omitzero"`
 	// WarmUntil is the end of the cold start, by the host's clock.
 	WarmUntil time.Time `json:"warm,omitzero"`
+	// Observed is what the server showed its host lately. Peers of the service
+	// are the standard against which a host judges its own server.
+	Observed Observed `json:"obs,omitzero"`
+}
+
+// Observed is a summary of recent real requests in log-spaced buckets; package
+// detect defines the steps. It changes only when a value has moved by most of
+// a step, so that it rarely causes gossip. The zero value means that too few
+// requests were seen.
+type Observed struct {
+	// Median is the bucket of the median latency, from 1.
+	Median uint8 `json:"m"`
+	// Spread is the bucket of the spread of latencies.
+	Spread uint8 `json:"s"`
+	// Failures is the bucket of the share of failed requests.
+	Failures uint8 `json:"f,omitempty"`
 }
 
 // Clone returns a copy of r that shares no slice with it.
