Refuse to promise anything about an expired key

Cause: the property test TestLedgerRunsAtMostOnce found a request that ran, whose record went with the expiry of its key, and that a later fence called never-dispatched. An entry node that was paused for longer than the retention had the same hole for requests without a key. Change: a fence carries the expiry of the key and an expired key is not-known; an entry ignores a fence once its request is older than half the retention. Ruled out: keeping records longer than the key, which only moves the hole.

--- a/internal/atmostonce/ledger.go
+++ b/internal/atmostonce/ledger.go
@@ -226,20 +226,30 @@
 	Running FenceState = "running"
 	// Done says that the request has ended; the reply is given.
 	Done FenceState = "done"
-	// NotKnown says that the host incarnation that may know is gone.
+	// NotKnown says that the host incarnation that may know is gone, or that the
+	// key has expired.
 	NotKnown FenceState = "not-known"
 )
 
 // Fence makes sure that a request that was not dispatched never will be, and
 // returns what is known about it. An unknown ID is fenced for the retention of
-// the ledger, which is longer than an old request can still arrive.
-func (l *Ledger) Fence(id string) (FenceState, *forward.Reply) {
+// the ledger, which is longer than an old request can still arrive. expires is
+// the expiry of a key, zero for a request without one. The record of an
+// expired key may be gone, so nothing is promised about it.
+func (l *Ledger) Fence(id string, expires time.Time) (FenceState, *forward.Reply) {
+	end := l.clock.Elapsed() + l.limits.Retention
+	if !expires.IsZero() {
+		end = l.clock.At(expires)
+	}
+	if end <= l.clock.Elapsed() {
+		return NotKnown, nil
+	}
 	s := l.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, ok := s.records[id]
 	if !ok {
-		r = &record{finished: make(chan struct{}), expires: l.clock.Elapsed() + l.limits.Retention}
+		r = &record{finished: make(chan struct{}), expires: end}
 		s.records[id] = r
 		l.entries.Add(1)
 	}
@@ -253,6 +263,17 @@
 	return NeverDispatched, nil
 }
 
+// FenceTarget names a request at its host.
+type FenceTarget struct {
+	// Host and HostIncarnation name the ledger.
+	Host            string
+	HostIncarnation uint64
+	// ID is the ID in the ledger.
+	ID string
+	// Expires is the expiry of the key; zero for a request without one.
+	Expires time.Time
+}
+
 // Sweep removes expired records. A record that still runs stays.
 func (l *Ledger) Sweep() {
 	now := l.clock.Elapsed()
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonford/tarragonford/api"
 	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/problem"
 )
@@ -57,10 +58,36 @@
 // truthful corrects the outcome of an error where an earlier attempt, or an
 // earlier request with the same key, may have run.
 func (x *exchange) truthful(err *codes.Error) *codes.Error {
-	if err.Code.Outcome != codes.NotRun || !x.maybeRan {
+	if err.Code.Outcome != codes.NotRun {
 		return err
 	}
-	return codes.AnswerLost.Wrap(err, "an earlier attempt may have run")
+	if x.maybeRan {
+		return codes.AnswerLost.Wrap(err, "an earlier attempt may have run")
+	}
+	if !x.keyed() || x.fenced || ownRefusal(err) {
+		return err
+	}
+	unsure := *err
+	unsure.Code.Outcome = codes.Unknown
+	return &unsure
+}
+
+// keyed reports whether the request runs under an idempotency key.
+func (x *exchange) keyed() bool {
+	return x.request.CallerKey != "" && !x.request.Idempotent && !fleet.SafeMethod(x.request.Method)
+}
+
+// ownRefusal reports whether a refusal of a keyed request holds without a
+// fence: the request can run under no node and at no time as it stands, or, for
+// KeyStoreDown, the refusal speaks of this one request only, as docs/callers.md
+// says.
+func ownRefusal(err *codes.Error) bool {
+	switch err.Code.Number {
+	case codes.BadRequest.Number, codes.BodyTooLarge.Number, codes.KeyInvalid.Number,
+		codes.KeyReused.Number, codes.KeyStoreDown.Number:
+		return true
+	}
+	return false
 }
 
 func (e *Entry) finish(x *exchange, code int, outcome codes.Outcome) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,8 @@
 	MaxDeadline time.Duration
 	// KeyLifetime is the validity of issued keys.
 	KeyLifetime time.Duration
+	// FenceRetention is how long a host remembers a request without a key.
+	FenceRetention time.Duration
 	// FreezeThreshold is the age of the last control tick beyond which the
 	// entry refuses work.
 	FreezeThreshold time.Duration
@@ -94,6 +96,9 @@
 	// maybeRan is set once an attempt ended without a promise that it did not
 	// run. From then on the outcome cannot be not-run.
 	maybeRan bool
+	// fenced is set once the host has promised that a keyed request never ran
+	// and never will.
+	fenced bool
 }
 
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -46,12 +46,18 @@
 	attempt.ServerIncarnation = key.ServerIncarnation
 	x.request.Attempt = 1
 	reply := x.send(ctx, host, &attempt)
+	x.fenced = reply.Fenced
 	if reply.Err == nil || reply.Fenced || final(reply.Err) {
 		return reply
 	}
-	resolved := x.resolve(ctx, host, key.LedgerID(), reply)
-	x.maybeRan = !resolved.Fenced
-	return resolved
+	reply = x.resolve(ctx, atmostonce.FenceTarget{
+		Host:            key.Host,
+		HostIncarnation: key.HostIncarnation,
+		ID:              key.LedgerID(),
+		Expires:         key.Expires(),
+	}, reply)
+	x.fenced = reply.Fenced
+	return reply
 }
 
 // final reports whether a refusal of a keyed request holds for the key as well.
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -6,7 +6,6 @@
 
 	"github.com/tarragonford/tarragonford/internal/atmostonce"
 	"github.com/tarragonford/tarragonford/internal/codes"
-	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/forward"
 )
 
@@ -22,9 +21,9 @@
 // dispatched yet.
 type Fencer interface {
 	// Fence asks the host directly.
-	Fence(ctx context.Context, host string, incarnation uint64, id string) (atmostonce.FenceState, *forward.Reply, error)
+	Fence(ctx context.Context, target atmostonce.FenceTarget) (atmostonce.FenceState, *forward.Reply, error)
 	// FenceVia asks the host through another node, for when the direct path is cut.
-	FenceVia(ctx context.Context, host string, incarnation uint64, id string) (atmostonce.FenceState, *forward.Reply, error)
+	FenceVia(ctx context.Context, target atmostonce.FenceTarget) (atmostonce.FenceState, *forward.Reply, error)
 }
 
 // runOnce runs a non-idempotent request without a key. Another server is tried
@@ -44,7 +43,11 @@
 		attempt := x.attemptTo(candidate)
 		last = x.send(ctx, candidate.Host, attempt)
 		if last.Err != nil && !last.NotRun() {
-			last = x.resolve(ctx, candidate.Host, attempt.AttemptID(), last)
+			last = x.resolve(ctx, atmostonce.FenceTarget{
+				Host:            candidate.Host.ID,
+				HostIncarnation: candidate.Host.Version.Incarnation,
+				ID:              attempt.AttemptID(),
+			}, last)
 		}
 		if !last.NotRun() || !retryable(last.Err) || !x.mayTryAgain(ctx) {
 			return last
@@ -54,27 +57,36 @@
 
 // resolve learns what became of a request whose reply was lost. Silence leaves
 // the outcome unknown.
-func (x *exchange) resolve(ctx context.Context, host *fleet.NodeRecord, id string, lost *forward.Reply) *forward.Reply {
+func (x *exchange) resolve(ctx context.Context, target atmostonce.FenceTarget, lost *forward.Reply) *forward.Reply {
 	// The caller's own time may be up; the fence is still worth asking for,
 	// because it turns an unknown outcome into a certain one.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fenceTime)
 	defer cancel()
 	fencer := x.entry.options.Fencer
-	calls := []func(context.Context, string, uint64, string) (atmostonce.FenceState, *forward.Reply, error){
-		fencer.Fence, fencer.FenceVia,
-	}
-	for _, call := range calls {
+	for _, call := range []fenceCall{fencer.Fence, fencer.FenceVia} {
 		callCtx, cancel := context.WithTimeout(ctx, fenceCallTime)
-		state, kept, err := call(callCtx, host.ID, host.Version.Incarnation, id)
+		state, kept, err := call(callCtx, target)
 		cancel()
 		if err != nil {
 			continue
 		}
+		if x.tooOldForFence(target) {
+			return lost
+		}
 		return fenceReply(state, kept, lost)
 	}
 	return lost
 }
 
+type fenceCall func(context.Context, atmostonce.FenceTarget) (atmostonce.FenceState, *forward.Reply, error)
+
+// tooOldForFence reports whether the host may have forgotten a request without
+// a key. A node that was paused for longer than the ledger remembers would
+// otherwise take "not in the ledger" for "never dispatched".
+func (x *exchange) tooOldForFence(target atmostonce.FenceTarget) bool {
+	return target.Expires.IsZero() && time.Since(x.started) > x.entry.options.FenceRetention/2
+}
+
 // fenceReply turns the state of a request at its host into a reply.
 func fenceReply(state atmostonce.FenceState, kept, lost *forward.Reply) *forward.Reply {
 	switch state {
--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -33,6 +34,25 @@
 	Incarnation uint64 `json:"incarnation"`
 	// ID is the ID in the ledger.
 	ID string `json:"id"`
+	// ExpiresMS is the expiry of a key in milliseconds since 1970; 0 for a
+	// request without a key.
+	ExpiresMS int64 `json:"expires_ms,omitempty"`
+}
+
+func (p params) expires() time.Time {
+	if p.ExpiresMS == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(p.ExpiresMS)
+}
+
+// paramsOf converts the target of a fence call.
+func paramsOf(t atmostonce.FenceTarget) params {
+	p := params{Host: t.Host, Incarnation: t.HostIncarnation, ID: t.ID}
+	if !t.Expires.IsZero() {
+		p.ExpiresMS = t.Expires.UnixMilli()
+	}
+	return p
 }
 
 // result is the result of both methods.
@@ -67,15 +87,15 @@
 }
 
 // Fence implements entry.Fencer.
-func (s *Service) Fence(ctx context.Context, host string, incarnation uint64, id string) (atmostonce.FenceState, *forward.Reply, error) {
-	return s.ask(ctx, params{Host: host, Incarnation: incarnation, ID: id}).split()
+func (s *Service) Fence(ctx context.Context, target atmostonce.FenceTarget) (atmostonce.FenceState, *forward.Reply, error) {
+	return s.ask(ctx, paramsOf(target)).split()
 }
 
 // FenceVia implements entry.Fencer.
-func (s *Service) FenceVia(ctx context.Context, host string, incarnation uint64, id string) (atmostonce.FenceState, *forward.Reply, error) {
-	p := params{Host: host, Incarnation: incarnation, ID: id}
+func (s *Service) FenceVia(ctx context.Context, target atmostonce.FenceTarget) (atmostonce.FenceState, *forward.Reply, error) {
+	p := paramsOf(target)
 	last := outcome{err: trace.NotFound("no other node can be asked")}
-	for _, via := range s.others(host) {
+	for _, via := range s.others(target.Host) {
 		last = outcome{}
 		last.err = s.caller.Call(ctx, via, MethodFenceVia, p, &last.result)
 		if last.err == nil {
@@ -112,7 +132,7 @@
 	if s.viewer.View().Self.Version.Incarnation != p.Incarnation {
 		return result{State: atmostonce.NotKnown}
 	}
-	state, reply := s.ledger.Fence(p.ID)
+	state, reply := s.ledger.Fence(p.ID, p.expires())
 	r := result{State: state}
 	if reply == nil {
 		return r
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return forward.Refuse(err)
 	}
-	state, kept := h.options.Ledger.Fence(key.LedgerID())
+	state, kept := h.options.Ledger.Fence(key.LedgerID(), key.Expires())
 	switch state {
 	case atmostonce.NeverDispatched:
 		reply := forward.Refuse(cause)
@@ -114,6 +114,8 @@
 		return reply
 	case atmostonce.Done:
 		return kept
+	case atmostonce.NotKnown:
+		return forward.Refuse(codes.KeyExpired.New("the key has expired"))
 	}
 	return forward.Refuse(codes.KeyRunning.New("the request with this key has not ended yet"))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,6 +126,7 @@
 		MaxBody:         n.config.Limits.RequestBody,
 		MaxDeadline:     n.config.Limits.MaxDeadline,
 		KeyLifetime:     n.config.Timing.KeyLifetime,
+		FenceRetention:  n.config.Timing.FenceRetention,
 		FreezeThreshold: n.config.Timing.FreezeThreshold,
 		Done:            n.countRequest,
 	})
--- /dev/null
+++ b/test/harness/fleet.go
@@ -0,0 +1,271 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	readyLimit = 20 * time.Second
+	stopLimit  = 20 * time.Second
+	pollPause  = 50 * time.Millisecond
+)
+
+// instance is one machine of the deployment: a backend server and the node in
+// its slot.
+type instance struct {
+	index      int
+	id         string
+	server     string
+	service    string
+	dataCentre string
+	ports      [5]int
+	serverPort int
+	node       *process
+	backend    *process
+	// life counts the starts of the server, so that each life has its own seed.
+	life int
+}
+
+// addr returns an address of the node, by the index of its listener.
+func (i *instance) addr(listener int) string { return fmt.Sprintf("127.0.0.1:%d", i.ports[listener]) }
+
+// The listeners of a node, in the order of instance.ports.
+const (
+	listenCaller = iota
+	listenTraffic
+	listenControl
+	listenAttach
+	listenAdmin
+)
+
+// fleet is the set of processes of one run.
+type fleet struct {
+	deployment deployment
+	dir        string
+	// serviceTime is the mean service time of the servers, as a flag value.
+	serviceTime string
+	platform    *process
+	platformURL string
+	instances   []*instance
+}
+
+// newFleet writes nothing yet; start does.
+func newFleet(d deployment, dir string) (*fleet, error) {
+	if err := os.RemoveAll(dir); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	f := &fleet{deployment: d, dir: dir, serviceTime: "10ms"}
+	for _, s := range d.services {
+		for n := 0; n < s.servers; n++ {
+			f.addInstance(s.name, n)
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) addInstance(service string, n int) {
+	index := len(f.instances)
+	i := &instance{
+		index:      index,
+		id:         fmt.Sprintf("node-%s-%d", service, n),
+		server:     fmt.Sprintf("%s-%d", service, n),
+		service:    service,
+		dataCentre: f.deployment.dataCentres[index%len(f.deployment.dataCentres)],
+	}
+	f.instances = append(f.instances, i)
+}
+
+// freePorts asks the kernel for ports that are free now.
+func freePorts(count int) ([]int, error) {
+	var held []net.Listener
+	defer func() {
+		for _, listener := range held {
+			listener.Close()
+		}
+	}()
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		held = append(held, listener)
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+func (f *fleet) assignPorts() error {
+	ports, err := freePorts(1 + 6*len(f.instances))
+	if err != nil {
+		return err
+	}
+	f.platformURL = fmt.Sprintf("http://127.0.0.1:%d", ports[0])
+	for n, i := range f.instances {
+		copy(i.ports[:], ports[1+6*n:6+6*n])
+		i.serverPort = ports[6+6*n]
+	}
+	return nil
+}
+
+// start starts every process and waits until every node is ready and knows
+// every server.
+func (f *fleet) start() error {
+	if err := f.assignPorts(); err != nil {
+		return err
+	}
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	for _, i := range f.instances {
+		if err := f.startNode(i); err != nil {
+			return err
+		}
+		if err := f.startServer(i); err != nil {
+			return err
+		}
+	}
+	return f.waitReady()
+}
+
+func (f *fleet) startPlatform() error {
+	var err error
+	f.platform, err = start(f.dir, "platform", "tarragon-standin", "platform",
+		"--listen", strings.TrimPrefix(f.platformURL, "http://"), "--seed", f.deployment.seedFile)
+	return err
+}
+
+func (f *fleet) startNode(i *instance) error {
+	name := filepath.Join(f.dir, i.id+".yaml")
+	if err := os.WriteFile(name, []byte(f.settings(i)), 0o644); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	var err error
+	i.node, err = start(f.dir, i.id, "tarragond", "--config", name)
+	return err
+}
+
+// settings returns the settings file of a node. The first nodes are the seeds.
+func (f *fleet) settings(i *instance) string {
+	var seeds []string
+	for _, other := range f.instances[:min(3, len(f.instances))] {
+		seeds = append(seeds, fmt.Sprintf("%q", other.addr(listenControl)))
+	}
+	return fmt.Sprintf(`id: %s
+region: %s
+data_centre: %s
+listen:
+  caller: %s
+  traffic: %s
+  control: %s
+  attach: %s
+  admin: %s
+seeds: [%s]
+platform:
+  url: %s
+secret: example-secret-not-for-production
+timing:
+  stop_limit: 30s
+telemetry:
+  log_format: json
+`, i.id, f.deployment.region, i.dataCentre,
+		i.addr(listenCaller), i.addr(listenTraffic), i.addr(listenControl), i.addr(listenAttach), i.addr(listenAdmin),
+		strings.Join(seeds, ", "), f.platformURL)
+}
+
+func (f *fleet) startServer(i *instance) error {
+	i.life++
+	var err error
+	i.backend, err = start(f.dir, i.server, "tarragon-standin", "server",
+		"--id", i.server, "--service", i.service,
+		"--listen", fmt.Sprintf("127.0.0.1:%d", i.serverPort),
+		"--node", i.addr(listenAttach),
+		"--slots", fmt.Sprint(f.deployment.slots), "--conn-limit", fmt.Sprint(f.deployment.conns),
+		"--service-time", f.serviceTime,
+		"--record", filepath.Join(f.dir, "runs-"+i.server+".jsonl"),
+		"--seed", fmt.Sprint(1000*i.life+i.index))
+	return err
+}
+
+// waitReady waits until every node is ready.
+func (f *fleet) waitReady() error {
+	deadline := time.Now().Add(readyLimit)
+	for _, i := range f.instances {
+		for !f.nodeReady(i) {
+			if time.Now().After(deadline) {
+				return trace.LimitExceeded("node %s is not ready after %s", i.id, readyLimit)
+			}
+			time.Sleep(pollPause)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) nodeReady(i *instance) bool {
+	response, err := http.Get("http://" + i.addr(listenAdmin) + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// setFaults tells a server how to misbehave; faults is a JSON object.
+func (f *fleet) setFaults(i *instance, faults string) error {
+	url := fmt.Sprintf("http://127.0.0.1:%d/-/faults", i.serverPort)
+	response, err := http.Post(url, "application/json", strings.NewReader(faults))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return trace.BadParameter("%s refused the faults: %s", i.server, response.Status)
+	}
+	return nil
+}
+
+// stop ends every process that this run started: servers first, so that they
+// drain, then nodes, then the platform.
+func (f *fleet) stop() {
+	for _, i := range f.instances {
+		if i.backend != nil {
+			i.backend.signal(syscall.SIGCONT)
+			i.backend.signal(syscall.SIGTERM)
+		}
+	}
+	for _, i := range f.instances {
+		endProcess(i.backend)
+	}
+	for _, i := range f.instances {
+		if i.node != nil {
+			i.node.signal(syscall.SIGCONT)
+			i.node.signal(syscall.SIGTERM)
+		}
+	}
+	for _, i := range f.instances {
+		endProcess(i.node)
+	}
+	if f.platform != nil {
+		f.platform.signal(syscall.SIGCONT)
+		f.platform.signal(syscall.SIGTERM)
+		endProcess(f.platform)
+	}
+}
+
+func endProcess(p *process) {
+	if p != nil && !p.wait(stopLimit) {
+		p.kill()
+	}
+}
