Test the host against repeated, cut and foreign answers

Cause: the promises of the host need tests that fail without their mechanism. Change: tests over raw connections: a kept connection closed on arrival, the answer of another request, a cut answer, a leaving server, a passed deadline. Ruled out: httptest servers, which cannot close a kept connection on arrival.

--- /dev/null
+++ b/internal/host/host_test.go
@@ -0,0 +1,201 @@
+package host_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tarragonford/tarragonford/api"
+	"github.com/tarragonford/tarragonford/internal/atmostonce"
+	"github.com/tarragonford/tarragonford/internal/blackboard"
+	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/detect"
+	"github.com/tarragonford/tarragonford/internal/fleet"
+	"github.com/tarragonford/tarragonford/internal/forward"
+	"github.com/tarragonford/tarragonford/internal/host"
+)
+
+type noEvents struct{}
+
+func (noEvents) Emit(detect.Event) {}
+
+// fixture is a host with one attached server behind a raw listener.
+type fixture struct {
+	host        *host.Host
+	ledger      *atmostonce.Ledger
+	board       *blackboard.Board
+	attachments *host.Attachments
+	listener    net.Listener
+	// arrivals counts request heads that reached the server.
+	arrivals atomic.Int64
+}
+
+// serve answers requests on raw connections by answer, which returns whether
+// the connection stays open.
+func newFixture(t *testing.T, answer func(conn net.Conn, id string) bool) *fixture {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{listener: listener}
+	f.board = blackboard.New(fleet.NodeRecord{ID: "n", Version: fleet.Version{Incarnation: 1}})
+	f.ledger = atmostonce.NewLedger(
+		atmostonce.Limits{Entries: 100, Bytes: 1 << 20, Retention: time.Hour}, atmostonce.NewClock())
+	f.host = host.New(host.Options{
+		Viewer:          f.board,
+		Ledger:          f.ledger,
+		Signer:          atmostonce.NewSigner("secret"),
+		Events:          noEvents{},
+		BufferedAnswer:  1 << 16,
+		FreezeThreshold: time.Hour,
+	})
+	f.attachments = host.NewAttachments(f.host, f.board)
+	f.board.Add(f.attachments)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	t.Cleanup(func() { listener.Close() })
+	go f.board.Run(ctx)
+	go f.accept(answer)
+	f.announce(t, false)
+	return f
+}
+
+func (f *fixture) accept(answer func(net.Conn, string) bool) {
+	for {
+		conn, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.handle(conn, answer)
+	}
+}
+
+func (f *fixture) handle(conn net.Conn, answer func(net.Conn, string) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		f.arrivals.Add(1)
+		if !answer(conn, request.Header.Get(api.HeaderRequestID)) {
+			return
+		}
+	}
+}
+
+func (f *fixture) announce(t *testing.T, leaving bool) {
+	t.Helper()
+	reply := postAnnouncement(t, f.attachments.Handler(), api.Announcement{
+		ID: "b", Service: "s", Addr: f.listener.Addr().String(), Incarnation: 5, Slots: 2, Leaving: leaving,
+	})
+	if reply != http.StatusOK {
+		t.Fatalf("the announcement got status %d", reply)
+	}
+}
+
+func request(id, method string, idempotent bool) *forward.Request {
+	return &forward.Request{
+		ID: id, Attempt: 1, Service: "s", Server: "b", ServerIncarnation: 5,
+		Method: method, Path: "/x", Header: http.Header{}, Idempotent: idempotent,
+		Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+func writeAnswer(conn net.Conn, id string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", api.HeaderRequestID, id)
+}
+
+// TestNoSecondDispatchOnBrokenKeptConnection guards against net/http repeating
+// a non-idempotent request by itself when the server closes a kept connection
+// on its arrival.
+func TestNoSecondDispatchOnBrokenKeptConnection(t *testing.T) {
+	var closing atomic.Bool
+	f := newFixture(t, func(conn net.Conn, id string) bool {
+		if closing.Load() {
+			return false
+		}
+		writeAnswer(conn, id)
+		return true
+	})
+	if reply := f.host.Serve(context.Background(), request("1", http.MethodPost, false)); reply.Err != nil {
+		t.Fatal(reply.Err)
+	}
+	closing.Store(true)
+	for _, key := range []string{"", "caller-key"} {
+		before := f.arrivals.Load()
+		r := request("2"+key, http.MethodPost, false)
+		r.CallerKey = key
+		r.Header.Set(api.HeaderIdempotencyKey, key)
+		reply := f.host.Serve(context.Background(), r)
+		if got := f.arrivals.Load() - before; got != 1 {
+			t.Errorf("the request with key %q arrived %d times", key, got)
+		}
+		if reply.Err == nil || reply.Err.Code.Outcome != codes.Unknown {
+			t.Errorf("the outcome is not unknown: %+v", reply)
+		}
+	}
+}
+
+// TestAnswerOfAnotherRequestIsDropped guards against handing a caller the
+// answer to a request that is not its own.
+func TestAnswerOfAnotherRequestIsDropped(t *testing.T) {
+	f := newFixture(t, func(conn net.Conn, _ string) bool {
+		writeAnswer(conn, "another")
+		return true
+	})
+	reply := f.host.Serve(context.Background(), request("1", http.MethodGet, true))
+	if reply.Err == nil || reply.Err.Code.Number != codes.WrongAnswer.Number {
+		t.Fatalf("got %+v", reply)
+	}
+}
+
+// TestCutAnswerIsNotWhole guards against passing on a cut answer as a whole one.
+func TestCutAnswerIsNotWhole(t *testing.T) {
+	f := newFixture(t, func(conn net.Conn, id string) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 20\r\n\r\nhalf", api.HeaderRequestID, id)
+		return false
+	})
+	reply := f.host.Serve(context.Background(), request("1", http.MethodGet, true))
+	if reply.Err == nil || reply.Err.Code.Number != codes.AnswerLost.Number {
+		t.Fatalf("got %+v", reply)
+	}
+}
+
+// TestLeavingServerGetsNoWork guards against new work at a server that drains.
+func TestLeavingServerGetsNoWork(t *testing.T) {
+	f := newFixture(t, func(conn net.Conn, id string) bool {
+		writeAnswer(conn, id)
+		return true
+	})
+	f.announce(t, true)
+	reply := f.host.Serve(context.Background(), request("1", http.MethodPost, false))
+	if reply.Err == nil || reply.Err.Code.Number != codes.Leaving.Number {
+		t.Fatalf("got %+v", reply)
+	}
+	if f.arrivals.Load() != 0 {
+		t.Fatal("the request reached the leaving server")
+	}
+}
+
+// TestDeadlineBeforeDispatch guards against running a request whose caller has
+// already given up, for instance after the host was paused.
+func TestDeadlineBeforeDispatch(t *testing.T) {
+	f := newFixture(t, func(conn net.Conn, id string) bool {
+		writeAnswer(conn, id)
+		return true
+	})
+	r := request("1", http.MethodPost, false)
+	r.Deadline = time.Now().Add(-time.Millisecond)
+	reply := f.host.Serve(context.Background(), r)
+	if !reply.NotRun() || f.arrivals.Load() != 0 {
+		t.Fatalf("got %+v after %d arrivals", reply, f.arrivals.Load())
+	}
+}
