Make the settings strict

Cause: a typing error in a settings file must stop a node before it starts, and the operator should see every fault at once.

The field names and types of settings.Node stay as they were; SecretFile is new.

Ruled out: decoding into the struct with yaml.Strict, which stops at the first fault and accepts plain numbers as nanoseconds; own types for sizes, because the table already knows the unit of each key and the users of the fields need no conversion.

--- a/internal/codes/doc.go
+++ b/internal/codes/doc.go
@@ -7,3 +7,5 @@
 // 4000-4999 administration, 5000-5999 settings and command line,
 // 6000-6999 platform and peers.
 package codes
+
+//go:generate go run ../docgen -page codes -out ../../docs/codes.md
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,92 +1,100 @@
 package settings
 
-import (
-	"os"
-	"time"
-
-	"github.com/goccy/go-yaml"
-	"github.com/gravitational/trace"
-)
+import "time"
 
 // Node holds the settings of one tarragond process.
 type Node struct {
 	// ID names the node, unique within the fleet.
-	ID         string    `yaml:"id"`
-	Region     string    `yaml:"region"`
-	DataCentre string    `yaml:"data_centre"`
-	Listen     Listen    `yaml:"listen"`
-	Seeds      []string  `yaml:"seeds"`
-	Platform   Platform  `yaml:"platform"`
-	Secret     string    `yaml:"secret"`
-	Limits     Limits    `yaml:"limits"`
-	Timing     Timing    `yaml:"timing"`
-	Telemetry  Telemetry `yaml:"telemetry"`
+	ID string
+	// Region and DataCentre say where the node runs.
+	Region, DataCentre string
+	// Listen holds the addresses of the listeners.
+	Listen Listen
+	// Seeds are control addresses of other nodes. Default none.
+	Seeds []string
+	// Platform says how to reach the platform's table service.
+	Platform Platform
+	// Secret signs idempotency keys; every node of the fleet has the same.
+	Secret string
+	// SecretFile is the file that Secret came from; empty if the settings hold it.
+	SecretFile string
+	// Limits bounds what the node takes in and keeps.
+	Limits Limits
+	// Timing holds the intervals of control work.
+	Timing Timing
+	// Telemetry holds the settings of logs, metrics and traces.
+	Telemetry Telemetry
 }
 
-// Listen holds the host:port of each listener.
+// Listen holds the IP address and port of each listener.
 type Listen struct {
-	Caller  string `yaml:"caller"`
-	Traffic string `yaml:"traffic"`
-	Control string `yaml:"control"`
-	Attach  string `yaml:"attach"`
-	Admin   string `yaml:"admin"`
+	// Caller takes the requests of callers.
+	Caller string
+	// Traffic takes the requests of other nodes.
+	Traffic string
+	// Control takes gossip and fence calls of other nodes.
+	Control string
+	// Attach takes the announcements of backend servers.
+	Attach string
+	// Admin serves the administration API, health and metrics.
+	Admin string
 }
 
 // Platform says how to reach the platform's table service.
 type Platform struct {
 	// URL is the base URL of the service.
-	URL string `yaml:"url"`
+	URL string
 	// Timeout bounds one call. Default 2s.
-	Timeout time.Duration `yaml:"timeout"`
+	Timeout time.Duration
 	// PollInterval is the mean time between two reads of the change counter. Default 5s.
-	PollInterval time.Duration `yaml:"poll_interval"`
+	PollInterval time.Duration
 }
 
 // Limits bounds what the node takes in and keeps.
 type Limits struct {
 	// RequestBody is the largest request body in bytes. Default 1 MiB.
-	RequestBody int64 `yaml:"request_body"`
+	RequestBody int64
 	// BufferedAnswer is the largest answer in bytes that is read whole before
 	// any of it is sent on. Default 256 KiB.
-	BufferedAnswer int64 `yaml:"buffered_answer"`
+	BufferedAnswer int64
 	// HeaderBytes is the largest request header in bytes. Default 32 KiB.
-	HeaderBytes int `yaml:"header_bytes"`
+	HeaderBytes int
 	// LedgerEntries bounds the recorded non-idempotent requests. Default 200000.
-	LedgerEntries int `yaml:"ledger_entries"`
+	LedgerEntries int
 	// LedgerBytes bounds the bodies of recorded answers. Default 64 MiB.
-	LedgerBytes int64 `yaml:"ledger_bytes"`
+	LedgerBytes int64
 	// MaxDeadline is the longest deadline a caller may ask for. Default 30s.
-	MaxDeadline time.Duration `yaml:"max_deadline"`
+	MaxDeadline time.Duration
 }
 
 // Timing holds the intervals of control work.
 type Timing struct {
 	// GossipInterval is the time between two exchanges of records. Default 500ms.
-	GossipInterval time.Duration `yaml:"gossip_interval"`
+	GossipInterval time.Duration
 	// ForgetAfter is how long the record of a silent node is kept. Default 10m.
-	ForgetAfter time.Duration `yaml:"forget_after"`
+	ForgetAfter time.Duration
 	// StopLimit bounds a graceful stop. Default 60s.
-	StopLimit time.Duration `yaml:"stop_limit"`
+	StopLimit time.Duration
 	// KeyLifetime is the validity of an idempotency key. Default 10m.
-	KeyLifetime time.Duration `yaml:"key_lifetime"`
+	KeyLifetime time.Duration
 	// FenceRetention is how long the ledger remembers a request. It exceeds the
 	// time for which TCP may still deliver an old request. Default 30m.
-	FenceRetention time.Duration `yaml:"fence_retention"`
+	FenceRetention time.Duration
 	// FreezeThreshold is the gap between control ticks after which the node
 	// takes no work until its view is fresh. Default 2s.
-	FreezeThreshold time.Duration `yaml:"freeze_threshold"`
+	FreezeThreshold time.Duration
 }
 
 // Telemetry holds the settings of logs, metrics and traces.
 type Telemetry struct {
 	// LogFormat is "json" or "console". Default "json".
-	LogFormat string `yaml:"log_format"`
+	LogFormat string
 	// LogLevel is "debug", "info", "warn" or "error". Default "info".
-	LogLevel string `yaml:"log_level"`
+	LogLevel string
 	// OTLPEndpoint is the host:port of an OTLP/HTTP collector; empty for none.
-	OTLPEndpoint string `yaml:"otlp_endpoint"`
+	OTLPEndpoint string
 	// SampleRatio is the share of requests that are traced, from 0 to 1. Default 0.
-	SampleRatio float64 `yaml:"sample_ratio"`
+	SampleRatio float64
 }
 
 // Defaults returns the settings that hold for keys the file does not name.
@@ -112,16 +120,3 @@
 		Telemetry: Telemetry{LogFormat: "json", LogLevel: "info"},
 	}
 }
-
-// Load reads the settings of a node from a YAML file.
-func Load(path string) (Node, error) {
-	node := Defaults()
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return node, trace.ConvertSystemError(err)
-	}
-	if err := yaml.UnmarshalWithOptions(data, &node, yaml.Strict()); err != nil {
-		return node, trace.BadParameter("%s: %v", path, err)
-	}
-	return node, nil
-}
