--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -23,22 +23,21 @@
 	exitUsage   = 2
 )
 
-type options struct {
-	Config  string `long:"config" required:"yes" value-name:"FILE" description:"YAML file with the settings"`
-	Version func() `long:"version" description:"print the version and exit"`
-}
-
 func main() {
-	opts := options{Version: func() {
-		fmt.Println("tarragond", buildinfo.Version())
-		os.Exit(0)
-	}}
-	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
+	var overrides settings.Overrides
+	if _, err := flags.NewParser(&overrides, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
 		os.Exit(usage(err))
 	}
-	config, err := settings.Load(opts.Config)
+	switch {
+	case overrides.Version:
+		fmt.Println("tarragond", buildinfo.Version())
+		return
+	case overrides.CheckConfig:
+		os.Exit(overrides.Check(os.Stdout))
+	}
+	config, err := overrides.Load()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "tarragond:", err)
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
 	}
 	if err := run(config); err != nil {
