Add membership by gossip between nodes

Cause: nodes had no way to learn of each other's records or to call each other.

Change: package gossip exchanges node records over jsonrpc2 on kept TCP connections that prove the shared secret by an HMAC challenge in both directions. Heads of changed records flood to five partners; bodies travel only on request; a hash of all versions finds what the flood lost, and bucket hashes find the records that differ. Direct and indirect probes set PathDown and the node's own list; a node is down when two credible nodes list it. The membership controller takes the result over to the blackboard. Package memnet is an in-memory network that also runs in virtual time.

Ruled out: full digests on every exchange (35 KB at 500 nodes, twice a second); pushing whole records (2.5 KB each for a change of one number); calls in both directions of one connection, because then a one-way cut of connections would not show at the node that cannot dial.

--- /dev/null
+++ b/internal/memnet/network.go
@@ -0,0 +1,227 @@
+package memnet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// Errors of dialling.
+var (
+	errRefused = errors.New("memnet: connection refused")
+	errReset   = errors.New("memnet: connection reset")
+)
+
+// backlog bounds the connections that wait to be accepted.
+const backlog = 128
+
+// direction is an ordered pair of hosts.
+type direction struct{ from, to string }
+
+// Network connects hosts by name. All methods are safe for concurrent use.
+type Network struct {
+	mu        sync.Mutex
+	delay     func(from, to string) time.Duration
+	listeners map[string]*listener
+	conns     map[*conn]struct{}
+	cut       map[direction]bool
+	stalled   map[direction]bool
+	frozen    map[string]bool
+}
+
+// New returns a network in which bytes take the given time from one host to
+// another. A nil delay means none.
+func New(delay func(from, to string) time.Duration) *Network {
+	if delay == nil {
+		delay = func(string, string) time.Duration { return 0 }
+	}
+	return &Network{
+		delay:     delay,
+		listeners: map[string]*listener{},
+		conns:     map[*conn]struct{}{},
+		cut:       map[direction]bool{},
+		stalled:   map[direction]bool{},
+		frozen:    map[string]bool{},
+	}
+}
+
+// Cut stops or resumes the delivery of bytes from one host to another.
+func (n *Network) Cut(from, to string, cut bool) {
+	n.change(func() { n.cut[direction{from, to}] = cut })
+}
+
+// Stall stops or resumes connections that one host dials to another, in both
+// directions of the connection. Connections that the other host dials work.
+func (n *Network) Stall(dialler, acceptor string, stalled bool) {
+	n.change(func() { n.stalled[direction{dialler, acceptor}] = stalled })
+}
+
+// Split cuts or joins two groups of hosts, in both directions.
+func (n *Network) Split(left, right []string, cut bool) {
+	n.change(func() {
+		for _, a := range left {
+			for _, b := range right {
+				n.cut[direction{a, b}] = cut
+				n.cut[direction{b, a}] = cut
+			}
+		}
+	})
+}
+
+// Freeze stops or resumes all delivery from and to a host, as if its process
+// were paused.
+func (n *Network) Freeze(host string, frozen bool) {
+	n.change(func() { n.frozen[host] = frozen })
+}
+
+// Reset closes every connection of a host with an error, and its listener.
+func (n *Network) Reset(host string) {
+	n.mu.Lock()
+	var closing []*conn
+	for c := range n.conns {
+		if c.local == host || c.remote == host {
+			closing = append(closing, c)
+		}
+	}
+	l := n.listeners[host]
+	n.mu.Unlock()
+	for _, c := range closing {
+		c.Close()
+	}
+	if l != nil {
+		l.Close()
+	}
+}
+
+// change applies a change and wakes every waiting reader.
+func (n *Network) change(apply func()) {
+	n.mu.Lock()
+	apply()
+	conns := make([]*conn, 0, len(n.conns))
+	for c := range n.conns {
+		conns = append(conns, c)
+	}
+	n.mu.Unlock()
+	for _, c := range conns {
+		c.in.wake()
+	}
+}
+
+// blocked reports whether bytes of a connection dialled by dialler travel in
+// the given direction.
+func (n *Network) blocked(dialler, acceptor, from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[direction{from, to}] || n.stalled[direction{dialler, acceptor}] ||
+		n.frozen[from] || n.frozen[to]
+}
+
+// Listen accepts connections to a host.
+func (n *Network) Listen(host string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[host] != nil {
+		return nil, errors.New("memnet: host listens already: " + host)
+	}
+	l := &listener{network: n, host: host, incoming: make(chan *conn, backlog), closed: make(chan struct{})}
+	n.listeners[host] = l
+	return l, nil
+}
+
+// Dialer returns the dial function of a host. The network name is ignored.
+func (n *Network) Dialer(host string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		return n.dial(ctx, host, addr)
+	}
+}
+
+func (n *Network) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	if n.blocked(from, to, from, to) || n.blocked(from, to, to, from) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	l := n.listeners[to]
+	roundTrip := n.delay(from, to) + n.delay(to, from)
+	n.mu.Unlock()
+	if roundTrip > 0 {
+		select {
+		case <-time.After(roundTrip):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if l == nil {
+		return nil, errRefused
+	}
+	near, far := n.pair(from, to)
+	select {
+	case l.incoming <- far:
+		return near, nil
+	case <-l.closed:
+		near.Close()
+		return nil, errRefused
+	case <-ctx.Done():
+		near.Close()
+		return nil, ctx.Err()
+	}
+}
+
+func (n *Network) pair(from, to string) (near, far *conn) {
+	toFar, toNear := newPipe(), newPipe()
+	toFar.blocked = func() bool { return n.blocked(from, to, from, to) }
+	toNear.blocked = func() bool { return n.blocked(from, to, to, from) }
+	toFar.delay, toNear.delay = n.delay(from, to), n.delay(to, from)
+	near = &conn{network: n, local: from, remote: to, in: toNear, out: toFar}
+	far = &conn{network: n, local: to, remote: from, in: toFar, out: toNear}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[near], n.conns[far] = struct{}{}, struct{}{}
+	return near, far
+}
+
+// listener implements net.Listener.
+type listener struct {
+	network  *Network
+	host     string
+	incoming chan *conn
+	once     sync.Once
+	closed   chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.incoming:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.host] == l {
+			delete(l.network.listeners, l.host)
+		}
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return address(l.host) }
+
+// address is a host name as net.Addr.
+type address string
+
+// Network implements net.Addr.
+func (address) Network() string { return "memnet" }
+
+// String implements net.Addr.
+func (a address) String() string { return string(a) }
