--- a/internal/blackboard/entries.go
+++ b/internal/blackboard/entries.go
@@ -18,7 +18,7 @@
 	self     *fleet.NodeRecord
 	nodes    map[string]*fleet.NodeRecord
 	down     map[string]bool
-	pathDown map[string]bool
+	pathDown [pathSources]map[string]bool
 	rows     map[string]fleet.Row
 	config   *fleet.Config
 	closed   map[string]bool
@@ -36,7 +36,7 @@
 		self:       self.Clone(),
 		nodes:      map[string]*fleet.NodeRecord{},
 		down:       map[string]bool{},
-		pathDown:   map[string]bool{},
+		pathDown:   [pathSources]map[string]bool{{}, {}},
 		rows:       map[string]fleet.Row{},
 		config:     fleet.EmptyConfig(),
 		closed:     map[string]bool{},
@@ -118,15 +118,42 @@
 	e.markDirty(record)
 	delete(e.nodes, id)
 	delete(e.down, id)
-	delete(e.pathDown, id)
+	for _, flags := range e.pathDown {
+		delete(flags, id)
+	}
 }
 
 // SetDown records whether a node counts as unreachable for the whole fleet, as
 // far as this node knows.
 func (e *Entries) SetDown(id string, down bool) { e.setFlag(e.down, id, down) }
 
-// SetPathDown records whether this node cannot reach a node directly.
-func (e *Entries) SetPathDown(id string, down bool) { e.setFlag(e.pathDown, id, down) }
+// PathSource is an observer of the paths from this node to others.
+type PathSource int
+
+// The observers. A path counts as down while either of them says so: probes
+// see a path without traffic, and traffic sees a host whose control connection
+// works while its requests stall.
+const (
+	PathByProbes PathSource = iota
+	PathByTraffic
+	pathSources
+)
+
+// SetPathDown records whether an observer finds that this node cannot reach
+// another directly.
+func (e *Entries) SetPathDown(id string, source PathSource, down bool) {
+	e.setFlag(e.pathDown[source], id, down)
+}
+
+// isPathDown reports whether any observer finds the path down.
+func (e *Entries) isPathDown(id string) bool {
+	for _, flags := range e.pathDown {
+		if flags[id] {
+			return true
+		}
+	}
+	return false
+}
 
 // IsDown reports whether a node counts as unreachable.
 func (e *Entries) IsDown(id string) bool { return e.down[id] }
--- a/internal/blackboard/snapshot.go
+++ b/internal/blackboard/snapshot.go
@@ -68,7 +68,7 @@
 		Server:   server,
 		Host:     node,
 		Warmth:   e.warmth(now, server),
-		PathDown: e.pathDown[node.ID],
+		PathDown: e.isPathDown(node.ID),
 	}
 }
 
--- a/internal/controller/detection.go
+++ b/internal/controller/detection.go
@@ -198,7 +198,7 @@
 	d.paths.Targets(func(id string) {
 		if node, ok := e.Node(id); !ok || node.Left {
 			d.paths.Remove(id)
-			e.SetPathDown(id, false)
+			e.SetPathDown(id, blackboard.PathByTraffic, false)
 		}
 	})
 	d.peers = d.peers[:0]
@@ -260,7 +260,7 @@
 func (d *Detection) applyPaths(e *blackboard.Entries, transitions []detect.Transition) {
 	for _, t := range transitions {
 		d.report(SubjectPath, t)
-		e.SetPathDown(t.Target, t.To == fleet.Ejected)
+		e.SetPathDown(t.Target, blackboard.PathByTraffic, t.To == fleet.Ejected)
 	}
 }
 
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -48,7 +48,7 @@
 func (m *Membership) applyReach(e *blackboard.Entries, reach *gossip.Reach) {
 	for id := range e.Nodes() {
 		e.SetDown(id, reach.Down[id])
-		e.SetPathDown(id, reach.PathDown[id])
+		e.SetPathDown(id, blackboard.PathByProbes, reach.PathDown[id])
 	}
 	e.UpdateSelf(func(r *fleet.NodeRecord) bool {
 		if slices.Equal(r.Unreachable, reach.Unreachable) {
--- a/internal/host/attach.go
+++ b/internal/host/attach.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/tarragonford/tarragonford/api"
+	"github.com/tarragonford/tarragonford/internal/admit"
 	"github.com/tarragonford/tarragonford/internal/blackboard"
 	"github.com/tarragonford/tarragonford/internal/codes"
 	"github.com/tarragonford/tarragonford/internal/fleet"
@@ -35,7 +36,7 @@
 	addr        string
 	incarnation uint64
 	slots       int
-	admit       admitter
+	admit       *admit.Admitter
 	// refusing is set while the server is leaving or withdrawn.
 	refusing atomic.Bool
 }
@@ -134,7 +135,7 @@
 	}
 	a.lastSeen[announcement.ID] = now
 	if !known || server.incarnation != announcement.Incarnation || server.addr != announcement.Addr || server.slots != announcement.Slots {
-		server = newAttached(announcement)
+		server = newAttached(announcement, e.Config().Services[announcement.Service].QueueFactor)
 		a.setServer(announcement.ID, server)
 	}
 	if announcement.Leaving {
@@ -149,14 +150,14 @@
 	}
 }
 
-func newAttached(announcement api.Announcement) *attached {
+func newAttached(announcement api.Announcement, queueFactor float64) *attached {
 	return &attached{
 		id:          announcement.ID,
 		service:     announcement.Service,
 		addr:        announcement.Addr,
 		incarnation: announcement.Incarnation,
 		slots:       announcement.Slots,
-		admit:       newSlots(announcement.Slots),
+		admit:       admit.New(announcement.Slots, queueFactor, time.Now),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,12 +105,15 @@
 	fences := fence.New(n.gossip, n.board, n.ledger)
 	n.gossip.Handle(fence.MethodFence, fences.HandleFence)
 	n.gossip.Handle(fence.MethodFenceVia, fences.HandleFenceVia)
-	detection := n.newDetection()
+	detection := controller.NewDetection(controller.DetectionOptions{
+		Rand:         newRand(),
+		OnTransition: n.reportTransition,
+	})
 	n.host = host.New(host.Options{
 		Viewer:          n.board,
 		Ledger:          n.ledger,
 		Signer:          signer,
-		Events:          detection.Servers(),
+		Events:          detection,
 		BufferedAnswer:  n.config.Limits.BufferedAnswer,
 		FreezeThreshold: n.config.Timing.FreezeThreshold,
 	})
@@ -122,7 +125,7 @@
 		Fencer:          fences,
 		Signer:          signer,
 		Claims:          entry.NewClaims(n.store),
-		Paths:           detection.Paths(),
+		Paths:           detection,
 		MaxBody:         n.config.Limits.RequestBody,
 		MaxDeadline:     n.config.Limits.MaxDeadline,
 		KeyLifetime:     n.config.Timing.KeyLifetime,
@@ -131,7 +134,12 @@
 		Done:            n.countRequest,
 	})
 	attachments := host.NewAttachments(n.host, n.board)
-	n.board.Add(attachments, controller.NewMembership(n.gossip), detection)
+	n.board.Add(
+		attachments,
+		controller.NewMembership(n.gossip),
+		detection,
+		controller.NewEjection(n.reportStanding),
+	)
 	n.buildServers(attachments)
 }
 
@@ -164,7 +172,7 @@
 	metrics := n.telemetry.Metrics
 	metrics.Requests.With(telemetry.Result{Code: result.Code, Outcome: result.Outcome}).Add(1)
 	metrics.Attempts.Add(int64(result.Attempts))
-	metrics.RequestTime.Observe(result.Latency)
+	metrics.RequestTime.Record(result.Latency)
 }
 
 // Run serves until stop is closed, then stops gracefully. It ends at once when
@@ -176,6 +184,7 @@
 	group.Go(func() error { n.board.Run(ctx); return nil })
 	group.Go(func() error { return ignoreCancel(n.gossip.Run(ctx)) })
 	group.Go(func() error { n.sweep(ctx); return nil })
+	group.Go(func() error { n.pollConfig(ctx); return nil })
 	for i, listener := range n.httpListeners() {
 		server := n.servers[i]
 		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
--- /dev/null
+++ b/internal/node/report.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"math/rand/v2"
+
+	"go.uber.org/zap"
+
+	"github.com/tarragonford/tarragonford/internal/controller"
+	"github.com/tarragonford/tarragonford/internal/detect"
+)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// reportTransition logs a change of health of a server or of a path.
+func (n *Node) reportTransition(subject controller.Subject, t detect.Transition) {
+	n.telemetry.Metrics.Transitions.With(string(t.To)).Add(1)
+	n.telemetry.StateChange(string(subject), string(t.From), string(t.To), zap.String("target", t.Target))
+}
+
+// reportStanding logs a change of the share of work of an attached server.
+func (n *Node) reportStanding(change controller.StandingChange) {
+	n.telemetry.StateChange("standing", change.From.String(), change.To.String(),
+		zap.String("server", change.Server),
+		zap.String("service", change.Service),
+		zap.Bool("held", change.Held))
+}
