Add the choice of server, retry budget and hedge delay

Change: internal/route draws two servers by effective slots and takes the less used one, by data centre, region and other region; subsets of hosts come from rendezvous hashing and the connection limit; Budget bounds retries and hedges of a service, Hedge follows its p95. Ruled out: uniform draws with a score of (load+1)/slots, because cold and reduced servers then get no work while the service is idle; a retry floor that depends on time alone, because at 0.24 requests/s per entry and service it would exceed the fresh work. Each test was seen to fail with its mechanism removed: set-aside, probation and path checks, exclusion, full set, warmth, reduced share, probation share, reports and their age, spill, subset size, budget, floor bound, hedge step.

--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,222 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonford/tarragonford/internal/fleet"
+	"github.com/tarragonford/tarragonford/internal/route"
+)
+
+var start = time.Unix(1000, 0)
+
+// newView returns a view of an entry in data centre 0 with n servers of the
+// given slots, one for each node, spread over data centres of one region.
+func newView(n, dataCentres, entries int) *fleet.View {
+	sv := &fleet.ServiceView{Candidates: make([]fleet.Candidate, n)}
+	view := &fleet.View{Nodes: map[string]*fleet.NodeRecord{}, Services: map[string]*fleet.ServiceView{"s": sv}}
+	for i := range max(n, entries) {
+		node := &fleet.NodeRecord{ID: fmt.Sprintf("node-%04d", i), Region: "west", DataCentre: fmt.Sprint("dc-", i%dataCentres)}
+		if i < entries {
+			view.Nodes[node.ID] = node
+		}
+		if i < n {
+			server := &fleet.ServerRecord{ID: fmt.Sprintf("server-%04d", i), Service: "s", Slots: 6, ConnLimit: 350}
+			sv.Candidates[i] = fleet.Candidate{Server: server, Host: node, Warmth: 1}
+		}
+	}
+	view.Self = view.Nodes["node-0000"]
+	return view
+}
+
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+// TestChoiceKeepsStandings guards against sending work to a server that is set
+// aside or excluded, against a non-idempotent request to a server on probation
+// or behind a broken path while another is left, and against finding no server
+// although one is there.
+func TestChoiceKeepsStandings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		view := newView(rapid.IntRange(1, 40).Draw(t, "servers"), 3, 30)
+		sv := view.Services["s"]
+		q := route.Query{Service: "s", Idempotent: rapid.Bool().Draw(t, "idempotent")}
+		good, usable, tries := 0, 0, rapid.IntRange(1, 3).Draw(t, "tries")
+		for i := range sv.Candidates {
+			c := &sv.Candidates[i]
+			c.Standing = rapid.SampledFrom([]fleet.Standing{fleet.Routable, fleet.Reduced, fleet.OnProbation, fleet.SetAside}).Draw(t, "standing")
+			c.PathDown = rapid.IntRange(0, 3).Draw(t, "path") == 0
+			if rapid.IntRange(0, 3).Draw(t, "tried") < tries {
+				q.Exclude = append(q.Exclude, c.Server.ID)
+			} else if c.Standing != fleet.SetAside {
+				good += btoi(!c.PathDown && c.Standing != fleet.OnProbation)
+				usable += btoi(!c.PathDown || q.Idempotent)
+			}
+		}
+		router, rng := route.New(route.NewLoads()), newRand(rapid.Uint64().Draw(t, "seed"))
+		for range 50 {
+			c, ok := router.Choose(rng, start, view, q)
+			if ok != (usable > 0) {
+				t.Fatalf("found %v with %d usable servers", ok, usable)
+			}
+			if !ok {
+				return
+			}
+			if c.Standing == fleet.SetAside || contains(q.Exclude, c.Server.ID) {
+				t.Fatalf("chose %s, standing %v, excluded %v", c.Server.ID, c.Standing, q.Exclude)
+			}
+			if !q.Idempotent && (c.PathDown || good > 0 && c.Standing == fleet.OnProbation) {
+				t.Fatalf("non-idempotent to %s, path down %v, standing %v, %d others", c.Server.ID, c.PathDown, c.Standing, good)
+			}
+			if q.Idempotent && good > 0 && c.PathDown {
+				t.Fatalf("chose %s behind a broken path, %d others", c.Server.ID, good)
+			}
+		}
+	})
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// TestSharesFollowCapacity guards against cold, reduced and probation servers
+// that get a full share of the work, or none of it.
+func TestSharesFollowCapacity(t *testing.T) {
+	view := newView(8, 1, 8)
+	c := view.Services["s"].Candidates
+	c[0].Warmth, c[1].Standing, c[2].Standing = 0.2, fleet.Reduced, fleet.OnProbation
+	counts := countChoices(view, route.NewLoads(), 70000)
+	total := 5 + 0.2 + 0.25
+	for i, want := range []float64{0.2 / total, 0.25 / total, 0.05 / (total + 1)} {
+		if got := float64(counts[c[i].Server.ID]) / 70000; got < want*0.8 || got > want*1.2 {
+			t.Errorf("server %d took %.4f of the work, want about %.4f", i, got, want)
+		}
+	}
+}
+
+// TestReportedLoadAndLocality guards against ignoring what hosts report, and
+// against leaving the data centre before its load says so or staying after.
+func TestReportedLoadAndLocality(t *testing.T) {
+	view, loads := newView(8, 2, 8), route.NewLoads()
+	loads.Server("server-0000").Report(start, 4, 0)
+	counts := countChoices(view, loads, 4000)
+	if local := counts["server-0002"] + counts["server-0004"] + counts["server-0006"]; local < 3800 {
+		t.Errorf("unloaded servers of the data centre took %d of 4000", local)
+	}
+	for i := 0; i < 8; i += 2 {
+		loads.Server(fmt.Sprintf("server-%04d", i)).Report(start, 6, 3)
+	}
+	counts = countChoices(view, loads, 4000)
+	if remote := counts["server-0001"] + counts["server-0003"] + counts["server-0005"] + counts["server-0007"]; remote != 4000 {
+		t.Errorf("other data centre took %d of 4000 while the own one was full", remote)
+	}
+	later := countChoicesAt(view, loads, 4000, start.Add(time.Minute))
+	if later["server-0000"] == 0 {
+		t.Errorf("a report that is a minute old still keeps work away")
+	}
+}
+
+func countChoices(view *fleet.View, loads *route.Loads, n int) map[string]int {
+	return countChoicesAt(view, loads, n, start)
+}
+
+func countChoicesAt(view *fleet.View, loads *route.Loads, n int, now time.Time) map[string]int {
+	router, rng, counts := route.New(loads), newRand(1), map[string]int{}
+	for range n {
+		c, _ := router.Choose(rng, now, view, route.Query{Service: "s", Idempotent: true})
+		counts[c.Server.ID]++
+	}
+	return counts
+}
+
+// TestFanInStaysWithinConnLimit guards against subsets that let more entries
+// address a server than its connection limit allows at 500 entries, and that
+// grow with the product of entries and servers.
+func TestFanInStaysWithinConnLimit(t *testing.T) {
+	view := newView(140, 7, 500)
+	fanIn := map[string]int{}
+	for _, self := range view.Nodes {
+		entry := *view
+		entry.Self = self
+		for _, id := range route.SubsetIDs(&entry, "s") {
+			fanIn[id]++
+		}
+	}
+	most, total := 0, 0
+	for _, n := range fanIn {
+		most, total = max(most, n), total+n
+	}
+	t.Logf("largest fan-in %d, mean %.0f, servers reached %d", most, float64(total)/140, len(fanIn))
+	if most > 350 || len(fanIn) != 140 || total > 500*140/3 {
+		t.Errorf("largest fan-in %d, %d servers reached, %d pairs", most, len(fanIn), total)
+	}
+}
+
+// TestFullSetWhenSubsetIsTried guards against finding no server once each
+// server of the subset was tried.
+func TestFullSetWhenSubsetIsTried(t *testing.T) {
+	view := newView(40, 2, 1000)
+	q := route.Query{Service: "s", Exclude: route.SubsetIDs(view, "s")}
+	if _, ok := route.New(route.NewLoads()).Choose(newRand(1), start, view, q); !ok || len(q.Exclude) > 30 {
+		t.Errorf("found %v with %d of 40 servers tried", ok, len(q.Exclude))
+	}
+}
+
+// TestBudgetBoundsWorkSent guards against retries that multiply work when
+// every server sheds, for any rate and any gaps between requests.
+func TestBudgetBoundsWorkSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var budget route.Budget
+		now, sent := start, 0
+		fresh := rapid.IntRange(1, 2000).Draw(t, "fresh")
+		gap := time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap")) * time.Millisecond
+		for range fresh {
+			now = now.Add(gap)
+			budget.Fresh(0)
+			sent++
+			for range 3 {
+				sent += btoi(budget.Take(now))
+			}
+		}
+		if float64(sent) > 1.2*float64(fresh) {
+			t.Fatalf("sent %d for %d fresh requests", sent, fresh)
+		}
+		if fresh >= 200 && float64(sent) < 1.09*float64(fresh) {
+			t.Fatalf("sent only %d for %d fresh requests", sent, fresh)
+		}
+	})
+}
+
+// TestHedgeDelayFollowsP95 guards against a hedge delay that is far from the
+// service's p95, also after the service has become slower.
+func TestHedgeDelayFollowsP95(t *testing.T) {
+	var hedge route.Hedge
+	rng := newRand(3)
+	if _, ok := hedge.Delay(); ok {
+		t.Error("there is a delay without any attempt")
+	}
+	for _, mean := range []float64{0.01, 0.04, 0.01} {
+		for range 3000 {
+			hedge.Observe(time.Duration(rng.ExpFloat64() * mean * float64(time.Second)))
+		}
+		delay, ok := hedge.Delay()
+		if want := 3 * mean; !ok || delay.Seconds() < want*0.7 || delay.Seconds() > want*1.4 {
+			t.Errorf("delay %v, p95 %.3f s", delay, want)
+		}
+	}
+}
