--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -13,6 +13,9 @@
 	PrefixChange = "change/"
 	// PrefixIntent holds intents by ID.
 	PrefixIntent = "intent/"
+	// PrefixOpenIntent holds the IDs of the intents that are not in a terminal
+	// state, so that the nodes that drive them need not read all others.
+	PrefixOpenIntent = "intent-open/"
 	// PrefixAudit is followed by the intent ID and a step number in 6 digits.
 	// An audit row carries the mark of its transaction and is never overwritten.
 	PrefixAudit = "audit/"
