--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -176,6 +176,6 @@
 
 // Peers and backend servers.
 var (
-	BadAnnouncement = define(6101, "bad-announcement", statusBadRequest, NotRun,
+	BadAnnouncement = define(6201, "bad-announcement", statusBadRequest, NotRun,
 		"The announcement of a backend server is malformed.", "Correct the announcement; docs/backend-servers.md lists its fields.")
 )
