Count and trace every hop

Cause: on call needs metrics and a span for each hop. Change: entry, forward client and handler, host and dispatch start spans and pass the W3C trace context on; attempts, retries, hedges, fences, late and wrong answers are counted.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -11,6 +11,7 @@
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/problem"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
 // deliver sends an answer to the caller. If the rest of a large answer breaks
@@ -52,7 +53,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	problem.Write(w, id, err)
-	e.finish(x, err.Code.Number, err.Code.Outcome)
+	e.finish(x, telemetry.Result{Code: err.Code.Number, Outcome: err.Code.Outcome})
 }
 
 // truthful corrects the outcome of an error where an earlier attempt, or an
@@ -90,15 +91,10 @@
 	return false
 }
 
-func (e *Entry) finish(x *exchange, code int, outcome codes.Outcome) {
-	if e.options.Done == nil {
-		return
-	}
-	e.options.Done(Result{
-		Service:  x.request.Service,
-		Code:     code,
-		Outcome:  outcome,
-		Attempts: x.request.Attempt,
-		Latency:  time.Since(x.started),
-	})
+// finish counts a request of a caller.
+func (e *Entry) finish(x *exchange, result telemetry.Result) {
+	metrics := e.options.Telemetry.Metrics
+	metrics.Requests.Inc(result)
+	metrics.Attempts.Add(int64(x.request.Attempt))
+	metrics.RequestTime.Record(time.Since(x.started))
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	oteltrace "go.opentelemetry.io/otel/trace"
+
 	"github.com/tarragonford/tarragonford/internal/codes"
 	"github.com/tarragonford/tarragonford/internal/detect"
 	"github.com/tarragonford/tarragonford/internal/fleet"
@@ -70,11 +72,16 @@
 	e := x.entry
 	event := detect.Event{Target: host.ID, Service: r.Service, Request: e.pathEvents.Add(1), At: time.Now()}
 	e.options.Paths.Emit(event)
+	ctx, span := e.options.Telemetry.Tracer.StartHop(ctx, "forward", oteltrace.SpanKindClient)
+	defer span.End()
 	reply := e.options.Client.Send(ctx, host.TrafficAddr, r)
 	event.Finished = true
 	event.Latency = time.Since(event.At)
 	event.At = event.At.Add(event.Latency)
 	event.Result = pathResult(ctx, reply)
+	if reply.Err != nil {
+		span.Fail(reply.Err.Code.Name)
+	}
 	e.options.Paths.Emit(event)
 	return reply
 }
@@ -101,7 +108,13 @@
 	if x.request.Attempt >= maxAttempts || ctx.Err() != nil || !time.Now().Before(x.request.Deadline) {
 		return false
 	}
-	return x.entry.options.Balancer.MayRetry(x.service, time.Now())
+	metrics := x.entry.options.Telemetry.Metrics
+	if !x.entry.options.Balancer.MayRetry(x.service, time.Now()) {
+		metrics.RetriesRefused.Inc()
+		return false
+	}
+	metrics.Retries.Inc()
+	return true
 }
 
 // retryable reports whether another server could do better with a request that
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/tarragonford/tarragonford/internal/detect"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/forward"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
 // Viewer gives the newest view and the age of the last control tick.
@@ -50,17 +51,8 @@
 	// FreezeThreshold is the age of the last control tick beyond which the
 	// entry refuses work.
 	FreezeThreshold time.Duration
-	// Done is called with the result of each request, for metrics.
-	Done func(Result)
-}
-
-// Result describes one finished request of a caller.
-type Result struct {
-	Service  string
-	Code     int
-	Outcome  codes.Outcome
-	Attempts int
-	Latency  time.Duration
+	// Telemetry counts and traces the requests.
+	Telemetry *telemetry.Telemetry
 }
 
 // Entry serves callers.
@@ -104,21 +96,24 @@
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	id := uuid.NewString()
+	ctx, span := e.options.Telemetry.Tracer.StartRequest(telemetry.Extract(r.Context(), r.Header), "entry")
+	defer span.End()
 	x, err := e.accept(w, r, id, started)
 	if err != nil {
 		e.refuse(w, id, x, codes.Of(err))
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.request.Deadline.Add(fenceTime))
+	ctx, cancel := context.WithDeadline(ctx, x.request.Deadline.Add(fenceTime))
 	defer cancel()
 	reply := x.run(ctx)
 	defer reply.Close()
 	if reply.Err != nil {
+		span.Fail(reply.Err.Code.Name)
 		e.refuse(w, id, x, reply.Err)
 		return
 	}
 	e.deliver(w, id, reply.Answer)
-	e.finish(x, reply.Answer.Status, codes.Ran)
+	e.finish(x, telemetry.Result{Outcome: codes.Ran})
 }
 
 // run carries out the exchange in the way that its kind allows.
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -45,6 +45,7 @@
 		return nil
 	}
 	x.tried = append(x.tried, candidate.Server.ID)
+	x.entry.options.Telemetry.Metrics.Hedges.Inc()
 	return candidate
 }
 
@@ -91,7 +92,11 @@
 // wait returns the first answer, or the last failure if no attempt succeeds.
 func (r *race) wait() *forward.Reply {
 	for {
-		reply := r.take(<-r.replies)
+		result := <-r.replies
+		reply := r.take(result)
+		if reply.Err == nil && result.index > 0 {
+			r.x.entry.options.Telemetry.Metrics.HedgeWins.Inc()
+		}
 		if reply.Err == nil || r.open == 0 {
 			return reply
 		}
@@ -110,6 +115,9 @@
 	go func() {
 		for ; open > 0; open-- {
 			late := <-r.replies
+			if late.reply.Answer != nil {
+				r.x.entry.options.Telemetry.Metrics.LateAnswers.Inc()
+			}
 			late.reply.Close()
 		}
 	}()
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -68,8 +68,10 @@
 		state, kept, err := call(callCtx, target)
 		cancel()
 		if err != nil {
+			x.entry.options.Telemetry.Metrics.Fences.Inc("no-answer")
 			continue
 		}
+		x.entry.options.Telemetry.Metrics.Fences.Inc(string(state))
 		if x.tooOldForFence(target) {
 			return lost
 		}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
 const (
@@ -69,6 +70,7 @@
 	// Without GetBody, net/http never sends the request a second time.
 	request.GetBody = nil
 	r.encode(request.Header, c.token, time.Now())
+	telemetry.Inject(ctx, request.Header)
 	return c.http.Do(request)
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -8,7 +8,10 @@
 	"strconv"
 	"time"
 
+	oteltrace "go.opentelemetry.io/otel/trace"
+
 	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
 // Server runs requests at attached backend servers; package host implements it.
@@ -25,6 +28,8 @@
 	MaxBody int64
 	// Server runs the requests.
 	Server Server
+	// Telemetry counts and traces the hops.
+	Telemetry *telemetry.Telemetry
 }
 
 // ServeHTTP implements http.Handler.
@@ -45,7 +50,20 @@
 		return
 	}
 	request.Body = body
-	h.write(w, request.ID, h.Server.Serve(r.Context(), request))
+	ctx, span := h.Telemetry.Tracer.StartHop(telemetry.Extract(r.Context(), r.Header), "host", oteltrace.SpanKindServer)
+	defer span.End()
+	reply := h.Server.Serve(ctx, request)
+	h.count(span, reply)
+	h.write(w, request.ID, reply)
+}
+
+func (h *Handler) count(span telemetry.Span, reply *Reply) {
+	result := telemetry.Result{Outcome: codes.Ran}
+	if reply.Err != nil {
+		result = telemetry.Result{Code: reply.Err.Code.Number, Outcome: reply.Err.Code.Outcome}
+		span.Fail(reply.Err.Code.Name)
+	}
+	h.Telemetry.Metrics.HostRequests.Inc(result)
 }
 
 func (h *Handler) write(w http.ResponseWriter, id string, reply *Reply) {
--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -10,17 +10,23 @@
 	"strconv"
 	"time"
 
+	oteltrace "go.opentelemetry.io/otel/trace"
+
 	"github.com/tarragonford/tarragonford/api"
 	"github.com/tarragonford/tarragonford/internal/atmostonce"
 	"github.com/tarragonford/tarragonford/internal/codes"
 	"github.com/tarragonford/tarragonford/internal/detect"
 	"github.com/tarragonford/tarragonford/internal/forward"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
 // admitAndSend waits for a slot, dispatches the request and returns the reply.
 // The slot is held until the answer has been read to its end.
 func (h *Host) admitAndSend(ctx context.Context, server *attached, r *forward.Request, claim *atmostonce.Claim) *forward.Reply {
+	metrics := h.options.Telemetry.Metrics
+	arrived := time.Now()
 	permit, err := server.admit.Admit(ctx, r.Account, r.Weight, r.Deadline)
+	metrics.AdmissionTime.Record(time.Since(arrived))
 	if err != nil {
 		return forward.Refuse(err)
 	}
@@ -66,11 +72,18 @@
 		At:      started,
 	}
 	h.options.Events.Emit(event)
+	h.options.Telemetry.Metrics.Dispatches.Inc()
+	ctx, span := h.options.Telemetry.Tracer.StartHop(ctx, "dispatch", oteltrace.SpanKindClient)
+	defer span.End()
 	reply := h.send(ctx, server, r)
 	event.At = time.Now()
 	event.Finished = true
 	event.Latency = event.At.Sub(started)
 	event.Result = resultOf(ctx, reply)
+	h.options.Telemetry.Metrics.ServerTime.Record(event.Latency)
+	if reply.Err != nil {
+		span.Fail(reply.Err.Code.Name)
+	}
 	h.options.Events.Emit(event)
 	return reply
 }
@@ -130,6 +143,7 @@
 	if r.CallerKey != "" {
 		request.Header.Set(api.HeaderServerKey, r.CallerKey)
 	}
+	telemetry.Inject(ctx, request.Header)
 	return request, nil
 }
 
@@ -150,6 +164,7 @@
 	}
 	if response.Header.Get(api.HeaderRequestID) != r.ID {
 		response.Body.Close()
+		h.options.Telemetry.Metrics.WrongAnswers.Inc()
 		return forward.Refuse(codes.WrongAnswer.New("the backend server answered another request"))
 	}
 	length := response.ContentLength
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonford/tarragonford/internal/detect"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/forward"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
 const (
@@ -39,6 +40,8 @@
 	Ledger *atmostonce.Ledger
 	Signer *atmostonce.Signer
 	Events detect.Sink
+	// Telemetry counts and traces dispatches.
+	Telemetry *telemetry.Telemetry
 	// BufferedAnswer is the largest answer in bytes that is read whole.
 	BufferedAnswer int64
 	// FreezeThreshold is the age of the last control tick beyond which the host
@@ -183,10 +186,10 @@
 		reply.Fenced = reply.NotRun()
 		return reply
 	case <-ctx.Done():
-		go closeLate(result)
+		go h.closeLate(result)
 		return forward.Refuse(codes.AnswerLost.New("the entry node hung up"))
 	case <-time.After(time.Until(r.Deadline)):
-		go closeLate(result)
+		go h.closeLate(result)
 		return h.overdue(claim)
 	}
 }
@@ -202,8 +205,11 @@
 	return forward.Refuse(codes.DeadlineExceeded.New("the server gave no answer in time"))
 }
 
-func closeLate(result <-chan *forward.Reply) {
+func (h *Host) closeLate(result <-chan *forward.Reply) {
 	reply := <-result
+	if reply.Answer != nil {
+		h.options.Telemetry.Metrics.LateAnswers.Inc()
+	}
 	reply.Close()
 }
 
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/host"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
 type noEvents struct{}
@@ -52,6 +53,7 @@
 		Ledger:          f.ledger,
 		Signer:          atmostonce.NewSigner("secret"),
 		Events:          noEvents{},
+		Telemetry:       telemetry.Discard(),
 		BufferedAnswer:  1 << 16,
 		FreezeThreshold: time.Hour,
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,6 +114,7 @@
 		Ledger:          n.ledger,
 		Signer:          signer,
 		Events:          detection,
+		Telemetry:       n.telemetry,
 		BufferedAnswer:  n.config.Limits.BufferedAnswer,
 		FreezeThreshold: n.config.Timing.FreezeThreshold,
 	})
@@ -131,7 +132,7 @@
 		KeyLifetime:     n.config.Timing.KeyLifetime,
 		FenceRetention:  n.config.Timing.FenceRetention,
 		FreezeThreshold: n.config.Timing.FreezeThreshold,
-		Done:            n.countRequest,
+		Telemetry:       n.telemetry,
 	})
 	attachments := host.NewAttachments(n.host, n.board)
 	n.board.Add(
@@ -146,9 +147,10 @@
 func (n *Node) buildServers(attachments *host.Attachments) {
 	headerBytes := n.config.Limits.HeaderBytes
 	traffic := &forward.Handler{
-		Token:   forward.Token(n.config.Secret),
-		MaxBody: n.config.Limits.RequestBody,
-		Server:  n.host,
+		Token:     forward.Token(n.config.Secret),
+		MaxBody:   n.config.Limits.RequestBody,
+		Server:    n.host,
+		Telemetry: n.telemetry,
 	}
 	n.servers = []*http.Server{
 		newServer(n.counted(n.entry), headerBytes),
@@ -168,13 +170,6 @@
 	})
 }
 
-func (n *Node) countRequest(result entry.Result) {
-	metrics := n.telemetry.Metrics
-	metrics.Requests.With(telemetry.Result{Code: result.Code, Outcome: result.Outcome}).Add(1)
-	metrics.Attempts.Add(int64(result.Attempts))
-	metrics.RequestTime.Record(result.Latency)
-}
-
 // Run serves until stop is closed, then stops gracefully. It ends at once when
 // ctx ends.
 func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
