Add the load generator, the relay and the comparison

Cause: the properties about requests can only be checked from outside: by callers that check every answer, and by a comparison with what the servers ran.

Change: "tarragon-load run" sends a seeded Poisson process of reads and writes, checks the token of every answer, repeats keyed writes through another entry and never others, and writes a report and a CSV of every attempt. "relay" holds up or delays either direction of TCP connections.

Ruled out: a closed loop, which slows down with the fleet and hides its delay; latency from the time of sending, for the same reason; a relay that drops the bytes of a cut, because TCP retransmits them after a partition; counting an answer whose connection visibly breaks as truncated, because the caller cannot take it for a whole one. It is counted as cut off.

--- /dev/null
+++ b/cmd/tarragon-load/compare.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"errors"
+	"os"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonford/tarragonford/internal/report"
+)
+
+// errFaulty ends the process with code 1 after a comparison that found a
+// violation.
+var errFaulty = errors.New("a property that must always hold was violated")
+
+// compareCommand holds the options of "tarragon-load compare".
+type compareCommand struct {
+	Callers []string `long:"callers" required:"yes" value-name:"FILE.csv" description:"attempts of a caller, from run --csv; may be repeated"`
+	Servers []string `long:"servers" required:"yes" value-name:"FILE.jsonl" description:"record of a server; may be repeated"`
+}
+
+// Execute implements flags.Commander.
+func (c *compareCommand) Execute([]string) error {
+	comparison := report.NewComparison()
+	if err := c.read(comparison); err != nil {
+		return trace.Wrap(err)
+	}
+	verdict, err := comparison.Write(os.Stdout)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if verdict.Faulty() {
+		return errFaulty
+	}
+	return nil
+}
+
+func (c *compareCommand) read(comparison *report.Comparison) error {
+	for _, name := range c.Callers {
+		if err := comparison.ReadCaller(name); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	for _, name := range c.Servers {
+		if err := comparison.ReadServer(name); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
--- a/cmd/tarragon-load/main.go
+++ b/cmd/tarragon-load/main.go
@@ -29,11 +29,14 @@
 	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
 	addCommands(parser)
 	if _, err := parser.Parse(); err != nil {
-		os.Exit(report(err))
+		os.Exit(exitCode(err))
 	}
 }
 
 func addCommands(parser *flags.Parser) {
+	mustAdd(parser, "run", "Send load to entry addresses and check every answer", &runCommand{})
+	mustAdd(parser, "relay", "Pass TCP connections on and cut or delay them", &relayCommand{})
+	mustAdd(parser, "compare", "Compare the attempts of callers with the records of servers", &compareCommand{})
 	mustAdd(parser, "experiment", "Run a seeded experiment in virtual time", &experimentCommand{})
 }
 
@@ -43,7 +46,9 @@
 	}
 }
 
-func report(err error) int {
+// exitCode prints err and returns the exit code of the process. The output of
+// compare ends with its verdict, so errFaulty prints nothing.
+func exitCode(err error) int {
 	var flagsError *flags.Error
 	if errors.As(err, &flagsError) {
 		if flagsError.Type == flags.ErrHelp {
@@ -53,6 +58,8 @@
 		fmt.Fprintln(os.Stderr, flagsError.Message)
 		return exitUsage
 	}
-	fmt.Fprintln(os.Stderr, "tarragon-load:", err)
+	if !errors.Is(err, errFaulty) {
+		fmt.Fprintln(os.Stderr, "tarragon-load:", err)
+	}
 	return exitFailure
 }
--- /dev/null
+++ b/cmd/tarragon-load/relay.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonford/tarragonford/internal/relay"
+)
+
+// headerTimeout bounds the header of a control request.
+const headerTimeout = 10 * time.Second
+
+// relayCommand holds the options of "tarragon-load relay".
+type relayCommand struct {
+	Listen  string        `long:"listen" required:"yes" value-name:"ADDR" description:"address that takes connections"`
+	Target  string        `long:"target" required:"yes" value-name:"ADDR" description:"address that they are passed on to"`
+	Control string        `long:"control" required:"yes" value-name:"ADDR" description:"HTTP address of POST /cut, /delay and /reset and GET /status"`
+	Cut     string        `long:"cut" default:"none" description:"direction that is cut at the start: forward, backward, both or none"`
+	Delay   time.Duration `long:"delay" description:"delay of each direction at the start"`
+}
+
+// Execute implements flags.Commander.
+func (c *relayCommand) Execute([]string) error {
+	r, err := relay.New(c.Listen, c.Target)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer r.Close()
+	if err := r.Cut(relay.Direction(c.Cut)); err != nil {
+		return trace.Wrap(err)
+	}
+	r.SetDelay(c.Delay)
+	control, err := net.Listen("tcp", c.Control)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	fmt.Printf("tarragon-load: relay %s -> %s, control %s\n", r.Addr(), c.Target, control.Addr())
+	return serveControl(control, r.Handler())
+}
+
+// serveControl serves until SIGTERM or SIGINT.
+func serveControl(listener net.Listener, handler http.Handler) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	context.AfterFunc(ctx, func() { server.Close() })
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/loadgen/answer.go
@@ -0,0 +1,65 @@
+package loadgen
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/tarragonford/tarragonford/api"
+	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/report"
+)
+
+// parseResult reads the code and the outcome from the headers of an answer.
+// Without a code it is an answer of the backend server, which ran the request.
+// A code without a valid outcome promises nothing.
+func parseResult(header http.Header) (int, codes.Outcome) {
+	text := header.Get(api.HeaderCode)
+	outcome := codes.Outcome(header.Get(api.HeaderOutcome))
+	known := outcome == codes.NotRun || outcome == codes.Ran || outcome == codes.Unknown
+	if text == "" {
+		if outcome == "" {
+			return 0, codes.Ran
+		}
+		if known {
+			return 0, outcome
+		}
+		return 0, codes.Unknown
+	}
+	code, err := strconv.Atoi(text)
+	if err != nil || code < 0 || !known {
+		return max(code, 0), codes.Unknown
+	}
+	return code, outcome
+}
+
+// answerBody is what a backend server must answer.
+type answerBody struct {
+	Token   *string `json:"token"`
+	Padding string  `json:"padding"`
+}
+
+// checkAnswer judges a body that was read to its end. Refusals carry no token.
+// An error of the server may lack a token, but must not hold another one.
+func checkAnswer(status, code int, body []byte, p planned) report.Check {
+	if code != 0 {
+		return report.CheckOK
+	}
+	success := status/100 == 2
+	var answer answerBody
+	if err := json.Unmarshal(body, &answer); err != nil {
+		if success {
+			return report.CheckTruncated
+		}
+		return report.CheckOK
+	}
+	switch {
+	case answer.Token == nil && !success:
+		return report.CheckOK
+	case answer.Token == nil || *answer.Token != p.token:
+		return report.CheckWrong
+	case success && len(answer.Padding) < p.target.Padding:
+		return report.CheckTruncated
+	}
+	return report.CheckOK
+}
