--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,6 +140,7 @@
 		controller.NewMembership(n.gossip),
 		detection,
 		controller.NewEjection(n.reportStanding),
+		&invariants{node: n, seen: map[string]int{}},
 	)
 	n.buildServers(attachments)
 }
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -275,3 +275,33 @@
 		p.kill()
 	}
 }
+
+// entries returns caller addresses spread over the fleet.
+func (f *fleet) entries(count int) []string {
+	var entries []string
+	step := max(1, len(f.instances)/count)
+	for n := 0; n < len(f.instances) && len(entries) < count; n += step {
+		entries = append(entries, f.instances[n].addr(listenCaller))
+	}
+	return entries
+}
+
+// writeInstance returns the n-th instance of the service that takes writes.
+func (f *fleet) writeInstance(n int) *instance {
+	for _, s := range f.deployment.services {
+		if s.writes {
+			return f.instancesOf(s.name)[n]
+		}
+	}
+	return f.instances[n]
+}
+
+func (f *fleet) instancesOf(service string) []*instance {
+	var found []*instance
+	for _, i := range f.instances {
+		if i.service == service {
+			found = append(found, i)
+		}
+	}
+	return found
+}
--- a/test/harness/main.go
+++ b/test/harness/main.go
@@ -24,11 +24,11 @@
 		}
 	}
 	if _, err := parser.Parse(); err != nil {
-		os.Exit(report(err))
+		os.Exit(exitCode(err))
 	}
 }
 
-func report(err error) int {
+func exitCode(err error) int {
 	var flagsError *flags.Error
 	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
 		fmt.Println(flagsError.Message)
