Keep the configuration of a node up to date through confsync

Cause: the first path polled every row once a second, without versions. Change: the node runs the syncer and the directory; a host takes no work while its gate is closed, because a paused host ticks again before its view is fresh.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -126,8 +126,8 @@
 // target returns the addressed server if it may take the request.
 func (h *Host) target(r *forward.Request) (*attached, error) {
 	view := h.options.Viewer.View()
-	if h.stale() {
-		return nil, codes.Stale.New("the host was paused and refreshes its view")
+	if h.stale() || !view.Ready {
+		return nil, codes.Stale.New("the host was paused or started, and refreshes its view")
 	}
 	server, ok := (*h.servers.Load())[r.Server]
 	if !ok || server.incarnation != r.ServerIncarnation {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/tarragonford/tarragonford/internal/atmostonce"
 	"github.com/tarragonford/tarragonford/internal/blackboard"
+	"github.com/tarragonford/tarragonford/internal/confsync"
 	"github.com/tarragonford/tarragonford/internal/controller"
 	"github.com/tarragonford/tarragonford/internal/entry"
 	"github.com/tarragonford/tarragonford/internal/fence"
@@ -39,7 +40,9 @@
 	host      *host.Host
 	entry     *entry.Entry
 	gossip    *gossip.Service
-	store     platform.Store
+	store     *platform.Client
+	syncer    *confsync.Syncer
+	directory *confsync.Directory
 	servers   []*http.Server
 	// inFlight counts callers' requests between arrival and the end of their answer.
 	inFlight atomic.Int64
@@ -76,10 +79,28 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	n.buildConfiguration()
 	n.buildRoles()
 	return nil
 }
 
+// buildConfiguration connects the configuration to the platform and to peers.
+func (n *Node) buildConfiguration() {
+	n.syncer = confsync.New(confsync.Options{
+		Self:         n.config.ID,
+		Board:        n.board,
+		Store:        n.store,
+		Peers:        n.gossip,
+		PollInterval: n.config.Platform.PollInterval,
+		Timeout:      n.config.Platform.Timeout,
+		Log:          n.telemetry.Log,
+	})
+	n.gossip.Handle(confsync.MethodSince, n.syncer.AnswerSince)
+	n.gossip.OnConfigVersion(n.syncer.Hint)
+	n.directory = confsync.NewDirectory(n.config.ID, n.listeners.control.Addr().String(), n.store,
+		n.config.Platform.Timeout, n.gossip.AddSeeds)
+}
+
 // firstRecord describes the node before anything is attached to it.
 func (n *Node) firstRecord() fleet.NodeRecord {
 	return fleet.NodeRecord{
@@ -138,6 +159,7 @@
 	n.board.Add(
 		attachments,
 		controller.NewMembership(n.gossip),
+		controller.NewConfiguration(n.syncer, n.config.Timing.FreezeThreshold),
 		detection,
 		controller.NewEjection(n.reportStanding),
 		&invariants{node: n, seen: map[string]int{}},
@@ -180,7 +202,8 @@
 	group.Go(func() error { n.board.Run(ctx); return nil })
 	group.Go(func() error { return ignoreCancel(n.gossip.Run(ctx)) })
 	group.Go(func() error { n.sweep(ctx); return nil })
-	group.Go(func() error { n.pollConfig(ctx); return nil })
+	group.Go(func() error { return ignoreCancel(n.syncer.Run(ctx)) })
+	group.Go(func() error { return ignoreCancel(n.directory.Run(ctx)) })
 	for i, listener := range n.httpListeners() {
 		server := n.servers[i]
 		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
