--- a/internal/intentstore/invariant_test.go
+++ b/internal/intentstore/invariant_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -23,13 +24,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"act":    m.act,
-			"act2":   m.act,
-			"carry":  m.carry,
-			"carry2": m.carry,
-			"carry3": m.carry,
-			"drive":  m.drive,
-			"drive2": m.drive,
+			"act":     m.act,
+			"act2":    m.act,
+			"carry":   m.carry,
+			"carry2":  m.carry,
+			"carry3":  m.carry,
+			"episode": m.episode,
+			"drive":   m.drive,
+			"drive2":  m.drive,
 			"advance": func(t *rapid.T) {
 				minutes := rapid.SampledFrom([]int{1, 1, 1, 5, 5, 25, 26 * 60}).Draw(t, "minutes")
 				m.now = m.now.Add(time.Duration(minutes) * time.Minute)
@@ -237,6 +239,36 @@
 	}
 }
 
+// checkApproval asserts, right after an approval, that the plan was made from
+// the rows as they were and that the stop leaves the floor now.
+func (m *machine) checkApproval(t *rapid.T, before intent.Intent) {
+	written := append(append([]string{}, before.Plan.Writes...), intent.TouchedKeys(before)...)
+	for key, version := range before.Plan.Versions {
+		row, err := m.memory.Get(context.Background(), fleet.Table, key)
+		if err != nil {
+			continue // deleted by the change
+		}
+		if slices.Contains(written, key) {
+			version++
+		}
+		if row.Version != version {
+			t.Fatalf("row %s has version %d after the approval of a plan that expects %d", key, row.Version, version)
+		}
+	}
+	m.checkStop(t, before.ID)
+}
+
+// checkStop asserts that a stop which just took effect leaves the floor.
+func (m *machine) checkStop(t *rapid.T, id string) {
+	in, _ := m.intent(id)
+	if in.State != intent.InForce || !in.Spec.IsStop() {
+		return
+	}
+	if text := m.brokenBy(in, decodeRows[fleet.Withdrawal](m.rows(fleet.PrefixWithdrawal))); text != "" {
+		t.Fatal(text)
+	}
+}
+
 // settle drives every intent without faults until nothing is due, and asserts
 // that no running stop leaves a service below its floor.
 func (m *machine) settle(t *rapid.T) {
--- a/internal/intentstore/machine_test.go
+++ b/internal/intentstore/machine_test.go
@@ -228,23 +228,41 @@
 	return in.Plan.Number
 }
 
-// arm draws a fault; the interleaved step of another identity meets none.
+// arm draws a fault. The interleaved step of another identity meets none; it
+// is one drawn step, a whole life cycle, or the work of a node.
 func (m *machine) arm(t *rapid.T) {
 	kind := rapid.SampledFrom(faultKinds).Draw(t, "fault")
 	at := rapid.IntRange(0, 7).Draw(t, "at")
 	other := func() {}
 	if kind == interleave {
-		mark := m.mark
-		step := m.draw(t)
+		run := m.drawOther(t)
 		other = func() {
-			mark = m.mark
-			m.run(step)
+			mark := m.mark
+			run()
 			m.mark = mark
 		}
 	}
 	m.store.arm(kind, at, other)
 }
 
+func (m *machine) drawOther(t *rapid.T) func() {
+	switch rapid.SampledFrom([]string{"step", "cycle", "cycle", "node"}).Draw(t, "other") {
+	case "step":
+		step := m.draw(t)
+		return func() { m.run(step) }
+	case "node":
+		return func() { m.driveAll(t) }
+	}
+	create := m.drawCreate(t, operators[1])
+	id := m.ids[len(m.ids)-1]
+	return func() {
+		m.run(create)
+		for range 3 {
+			m.run(func() error { return m.forward(t, id) })
+		}
+	}
+}
+
 // act takes one drawn step under a drawn fault.
 func (m *machine) act(t *rapid.T) {
 	step := m.draw(t)
@@ -262,16 +280,44 @@
 	id := m.ids[len(m.ids)-1-rapid.IntRange(0, min(3, len(m.ids)-1)).Draw(t, "back")]
 	faulty := rapid.IntRange(0, 4).Draw(t, "faulty")
 	for stage := range 4 {
+		m.trespass(t, id)
 		if stage == faulty {
 			m.arm(t)
 		}
-		m.run(func() error { return m.forward(id) })
+		m.run(func() error { return m.forward(t, id) })
 		m.store.arm(noFault, 0, nil)
 	}
 }
 
+// trespass now and then tries what must be refused: a confirmation of an older
+// plan, or a step by an identity without the role or with both roles.
+func (m *machine) trespass(t *rapid.T, id string) {
+	if rapid.IntRange(0, 2).Draw(t, "trespass") > 0 {
+		return
+	}
+	ctx := context.Background()
+	in, _ := m.intent(id)
+	switch in.State {
+	case intent.Planned:
+		m.run(func() error {
+			_, err := m.engine.Plan(ctx, operators[0], id, m.look)
+			return err
+		})
+		m.run(func() error {
+			_, err := m.engine.Confirm(ctx, operators[0], id, in.Plan.Number, m.look)
+			return err
+		})
+	case intent.Confirmed:
+		approver := rapid.SampledFrom(approvers).Draw(t, "approver")
+		m.run(func() error {
+			_, err := m.engine.Approve(ctx, approver, id, in.Plan.Number, m.look)
+			return err
+		})
+	}
+}
+
 // forward takes the next step of the usual life cycle.
-func (m *machine) forward(id string) (err error) {
+func (m *machine) forward(t *rapid.T, id string) (err error) {
 	ctx := context.Background()
 	in, _ := m.intent(id)
 	switch in.State {
@@ -281,6 +327,9 @@
 		_, err = m.engine.Confirm(ctx, operators[1], id, in.Plan.Number, m.look)
 	case intent.Confirmed:
 		_, err = m.engine.Approve(ctx, approvers[0], id, in.Plan.Number, m.look)
+		if err == nil {
+			m.checkApproval(t, in)
+		}
 	default:
 		return codes.StoreOutcomeUnknown.New("no step")
 	}
@@ -290,14 +339,33 @@
 // drive lets a node drive every intent under a drawn fault.
 func (m *machine) drive(t *rapid.T) {
 	m.arm(t)
+	m.driveAll(t)
+	m.store.arm(noFault, 0, nil)
+}
+
+func (m *machine) driveAll(t *rapid.T) {
 	for _, id := range m.ids {
 		m.run(func() error {
 			action, err := m.engine.Drive(context.Background(), "n0", id, m.look)
 			if action == "" && err == nil {
 				return codes.StoreOutcomeUnknown.New("nothing due")
 			}
+			if action == intent.ActionResume {
+				m.checkStop(t, id)
+			}
 			return err
 		})
 	}
-	m.store.arm(noFault, 0, nil)
+}
+
+// episode loses a server, lets a node hold the stops, returns the server and
+// accepts another stop before the held ones resume.
+func (m *machine) episode(t *rapid.T) {
+	server := rapid.SampledFrom([]string{"an0", "an1", "an2", "an3"}).Draw(t, "server")
+	m.lost[server] = true
+	m.driveAll(t)
+	m.lost[server] = false
+	m.carry(t)
+	m.now = m.now.Add(time.Minute)
+	m.drive(t)
 }
