--- /dev/null
+++ b/internal/admin/problem.go
@@ -0,0 +1,49 @@
+package admin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/google/uuid"
+
+	"github.com/tarragonford/tarragonford/api"
+	"github.com/tarragonford/tarragonford/internal/codes"
+)
+
+// writeProblem answers with the problem-details body of a coded error.
+func writeProblem(w http.ResponseWriter, err error) {
+	coded := codes.Of(err)
+	status := coded.Code.Status
+	if status == 0 {
+		status = http.StatusInternalServerError
+	}
+	problem := api.Problem{
+		Type:      fmt.Sprintf("docs/codes.md#%d", coded.Code.Number),
+		Title:     coded.Code.Name,
+		Status:    status,
+		Detail:    detail(coded),
+		Code:      coded.Code.Number,
+		Outcome:   string(coded.Code.Outcome),
+		Action:    coded.Code.Action,
+		RequestID: uuid.NewString(),
+	}
+	header := w.Header()
+	header.Set("Content-Type", api.ProblemContentType)
+	header.Set(api.HeaderCode, strconv.Itoa(problem.Code))
+	header.Set(api.HeaderOutcome, problem.Outcome)
+	header.Set(api.HeaderRequestID, problem.RequestID)
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(problem)
+}
+
+func detail(e *codes.Error) string {
+	if e.Cause == nil {
+		return e.Detail
+	}
+	return e.Detail + ": " + e.Cause.Error()
+}
--- a/internal/intentstore/drive.go
+++ b/internal/intentstore/drive.go
@@ -14,32 +14,33 @@
 var errNotDue = errors.New("the step is not due")
 
 // Drive takes the step that is due for an intent after approval, or its expiry,
-// on behalf of the named node. It returns the action taken, or an empty one.
+// on behalf of the named node. It returns the intent as it is then and the
+// action taken, or an empty one.
 // Any node may drive any intent: version checks let one of them take each step.
-func (e *Engine) Drive(ctx context.Context, node, id string, look func() Situation) (intent.Action, error) {
+func (e *Engine) Drive(ctx context.Context, node, id string, look func() Situation) (intent.Intent, intent.Action, error) {
 	in, _, err := e.load(ctx, id)
-	if err != nil {
-		return "", err
+	if err != nil || in.State.IsTerminal() {
+		return in, "", err
 	}
 	input, err := e.input(ctx, in.Spec, look)
 	if err != nil {
-		return "", err
+		return in, "", err
 	}
 	action, _ := intent.NextStep(in, input)
 	if action == "" {
-		return "", nil
+		return in, "", nil
 	}
 	actor := intent.Actor{ID: node, Role: intent.RoleNode}
-	_, err = e.take(ctx, id, step{actor: actor, action: action, apply: func(ctx context.Context, in intent.Intent) (outcome, error) {
+	next, err := e.take(ctx, id, step{actor: actor, action: action, apply: func(ctx context.Context, in intent.Intent) (outcome, error) {
 		return e.driven(ctx, in, action, look)
 	}})
 	if errors.Is(err, errNotDue) {
-		return "", nil
+		return in, "", nil
 	}
 	if err != nil {
-		return "", err
+		return in, "", err
 	}
-	return action, nil
+	return next, action, nil
 }
 
 // driven evaluates the situation again with fresh rows and returns the outcome
--- a/internal/intentstore/invariant_test.go
+++ b/internal/intentstore/invariant_test.go
@@ -140,7 +140,7 @@
 			}
 			confirmer = audit.Actor
 		case intent.ActionApprove:
-			if audit.Plan != plan || confirmer == "" || confirmer == audit.Actor || audit.Role != fleet.RoleApprover {
+			if audit.Plan != plan || confirmer == "" || confirmer == audit.Actor || in.CreatedBy == audit.Actor || audit.Role != fleet.RoleApprover {
 				t.Fatalf("intent %s: approval %+v after confirmation of plan %d by %q", in.ID, audit, plan, confirmer)
 			}
 		}
@@ -278,7 +278,7 @@
 		}
 		busy := false
 		for _, id := range m.ids {
-			action, err := m.engine.Drive(context.Background(), "n1", id, m.look)
+			_, action, err := m.engine.Drive(context.Background(), "n1", id, m.look)
 			if _, exists := m.intent(id); exists && err != nil {
 				t.Fatal(err)
 			}
--- a/internal/intentstore/machine_test.go
+++ b/internal/intentstore/machine_test.go
@@ -136,10 +136,10 @@
 
 var operators = []intent.Actor{{ID: "op1", Role: fleet.RoleOperator}, {ID: "op2", Role: fleet.RoleOperator}}
 
-// approvers hold an operator whose role was changed and one without the role.
+// approvers hold two operators whose roles were changed and one without the role.
 var approvers = []intent.Actor{
 	{ID: "legal", Role: fleet.RoleApprover}, {ID: "legal", Role: fleet.RoleApprover},
-	{ID: "op1", Role: fleet.RoleApprover}, {ID: "op2", Role: fleet.RoleOperator},
+	{ID: "op1", Role: fleet.RoleApprover}, {ID: "op2", Role: fleet.RoleApprover}, {ID: "op3", Role: fleet.RoleOperator},
 }
 
 // draw returns a step of some identity on some intent.
@@ -197,7 +197,7 @@
 
 func (m *machine) drawSpec(t *rapid.T) intent.Spec {
 	server := rapid.SampledFrom([]string{"an0", "an1", "an2", "an3", "bn0"}).Draw(t, "server")
-	switch rapid.SampledFrom([]string{"withdraw", "withdraw", "withdraw", "centre", "instance", "maintenance", "maintenance", "return", "floor", "route"}).Draw(t, "kind") {
+	switch rapid.SampledFrom([]string{"withdraw", "withdraw", "withdraw", "centre", "instance", "maintenance", "maintenance", "return", "floor", "route", "account", "account"}).Draw(t, "kind") {
 	case "withdraw":
 		return intent.Spec{Kind: intent.Withdraw, Scope: fleet.ScopeServer, Target: server}
 	case "centre":
@@ -209,6 +209,8 @@
 	case "floor":
 		slots := rapid.SampledFrom([]int{6, 12, 18}).Draw(t, "floor")
 		return intent.Spec{Kind: intent.Floor, Service: "a", FloorSlots: &slots}
+	case "account":
+		return intent.Spec{Kind: intent.Account, Account: &fleet.Account{ID: "shop-" + server}}
 	case "route":
 		return intent.Spec{Kind: intent.Route, Route: &fleet.Route{ID: "a", Prefix: "/x/", Service: "b"}}
 	}
@@ -346,7 +348,7 @@
 func (m *machine) driveAll(t *rapid.T) {
 	for _, id := range m.ids {
 		m.run(func() error {
-			action, err := m.engine.Drive(context.Background(), "n0", id, m.look)
+			_, action, err := m.engine.Drive(context.Background(), "n0", id, m.look)
 			if action == "" && err == nil {
 				return codes.StoreOutcomeUnknown.New("nothing due")
 			}
