Add tarragonctl

Cause: operators and approvers need a command for intents and the fleet. Change: cmd/tarragonctl states every kind of intent, confirms, approves, refuses, cancels and waits, and lists nodes, servers, services and the audit.

--- /dev/null
+++ b/cmd/tarragonctl/main.go
@@ -0,0 +1,134 @@
+// Command tarragonctl is the command for operators and the approving
+// department: intents and their confirmations, and the state of the fleet.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/tarragonford/tarragonford/internal/buildinfo"
+	"github.com/tarragonford/tarragonford/internal/codes"
+)
+
+// Exit codes; docs/operators.md lists them.
+const (
+	exitOK             = 0
+	exitFailure        = 1 // any other failure
+	exitUsage          = 2 // the command line is malformed
+	exitRefused        = 3 // the step was refused and nothing changed
+	exitIdentity       = 4 // the token or role does not allow the step
+	exitUnavailable    = 5 // no node answered, or the platform is down; nothing changed
+	exitOutcomeUnknown = 6 // the step may have taken effect; repeat it
+	exitWaitTimeout    = 7 // the step took effect and is not in force everywhere yet
+)
+
+const longDescription = `tarragonctl states intents, shows their plans, and confirms or approves them.
+
+A change takes effect after two confirmations: an operator confirms the plan and
+another identity with the role approver approves it.
+
+Examples:
+  tarragonctl --node http://10.0.1.4:7105 --token-file op.token status
+  tarragonctl intent withdraw server measures-3 --reason "disk errors"
+  tarragonctl confirm 20270115-080000-1a2b3c4d --plan 2
+  tarragonctl approve 20270115-080000-1a2b3c4d --plan 2 --wait
+
+Environment: TARRAGON_NODE (addresses, separated by commas) and TARRAGON_TOKEN.
+
+Exit codes: 0 success, 1 other failure, 2 malformed command, 3 refused and nothing
+changed, 4 token or role, 5 no node or platform and nothing changed, 6 outcome
+unknown (repeat the same command), 7 in force, but not everywhere within the time.
+
+Completion in bash: source <(tarragonctl completion)`
+
+// options are the flags of every command.
+type options struct {
+	Nodes     []string      `long:"node" env:"TARRAGON_NODE" env-delim:"," value-name:"URL" description:"admin address of a node; repeat it to name others that are tried in turn"`
+	TokenFile string        `long:"token-file" value-name:"FILE" description:"file with the bearer token; without it TARRAGON_TOKEN is used"`
+	Output    string        `long:"output" short:"o" choice:"table" choice:"json" choice:"yaml" default:"table" description:"form of the output"`
+	Timeout   time.Duration `long:"timeout" default:"15s" description:"time for one call to one node"`
+	Version   func()        `long:"version" description:"print the version and exit"`
+}
+
+// app is what every command uses.
+type app struct {
+	options options
+	stdout  io.Writer
+	stderr  io.Writer
+	getenv  func(string) string
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv)) }
+
+// run executes one command line and returns the exit code.
+func run(args []string, stdout, stderr io.Writer, getenv func(string) string) int {
+	a := &app{stdout: stdout, stderr: stderr, getenv: getenv}
+	a.options.Version = func() {
+		fmt.Fprintln(stdout, "tarragonctl", buildinfo.Version())
+		os.Exit(exitOK)
+	}
+	parser := flags.NewParser(&a.options, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "tarragonctl"
+	parser.LongDescription = longDescription
+	a.addIntentCommands(parser)
+	a.addStepCommands(parser)
+	a.addReadCommands(parser)
+	_, err := parser.ParseArgs(args)
+	return a.report(err)
+}
+
+// mustAdd adds a command; a malformed command is a programming error.
+func mustAdd(parent interface {
+	AddCommand(name, short, long string, data any) (*flags.Command, error)
+}, name, short, example string, command any) *flags.Command {
+	added, err := parent.AddCommand(name, short, short+".\n\nExample:\n  "+example, command)
+	if err != nil {
+		panic(err)
+	}
+	return added
+}
+
+// report prints an error with its code and what to do, and returns the exit code.
+func (a *app) report(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var flagsError *flags.Error
+	if errors.As(err, &flagsError) {
+		if flagsError.Type == flags.ErrHelp {
+			fmt.Fprintln(a.stdout, flagsError.Message)
+			return exitOK
+		}
+		err = codes.BadCommand.New("%s", flagsError.Message)
+	}
+	coded := codes.Of(err)
+	fmt.Fprintln(a.stderr, "tarragonctl:", coded.Error())
+	fmt.Fprintln(a.stderr, "What to do:", coded.Code.Action)
+	return exitCode(coded.Code)
+}
+
+// exitCode returns the exit code of a result code.
+func exitCode(code codes.Code) int {
+	switch code.Number {
+	case codes.BadCommand.Number:
+		return exitUsage
+	case codes.Unauthenticated.Number, codes.Forbidden.Number, codes.SameIdentity.Number:
+		return exitIdentity
+	case codes.WaitTimeout.Number:
+		return exitWaitTimeout
+	case codes.StoreDown.Number, codes.StoreBusy.Number, codes.ViewNotReady.Number, codes.NodeUnreachable.Number:
+		return exitUnavailable
+	}
+	switch {
+	case code.Number >= 4000 && code.Number < 5000:
+		return exitRefused
+	case code.Number >= 6000 && code.Outcome == codes.Unknown:
+		return exitOutcomeUnknown
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/tarragonctl/reads.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/tarragonford/tarragonford/api"
+)
+
+type listCommand struct {
+	app  *app
+	Open bool `long:"open" description:"only intents that have not ended"`
+}
+
+// Execute implements flags.Commander.
+func (c *listCommand) Execute([]string) error {
+	query := url.Values{"limit": {"1000"}}
+	if c.Open {
+		query.Set("open", "true")
+	}
+	intents := []api.Intent{}
+	for {
+		var page api.IntentList
+		if err := c.app.call(http.MethodGet, api.PathIntents+"?"+query.Encode(), nil, &page); err != nil {
+			return err
+		}
+		intents = append(intents, page.Intents...)
+		if page.Next == "" {
+			return c.app.printIntents(intents)
+		}
+		query.Set("after", page.Next)
+	}
+}
+
+type getCommand struct {
+	app    *app
+	Intent idArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *getCommand) Execute([]string) error {
+	var in api.Intent
+	if err := c.app.call(http.MethodGet, intentPath(c.Intent.ID), nil, &in); err != nil {
+		return err
+	}
+	return c.app.printPlanned(in)
+}
+
+type statusCommand struct{ app *app }
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	var status api.Status
+	if err := c.app.call(http.MethodGet, api.PathStatus, nil, &status); err != nil {
+		return err
+	}
+	return c.app.printStatus(status)
+}
+
+type nodesCommand struct{ app *app }
+
+// Execute implements flags.Commander.
+func (c *nodesCommand) Execute([]string) error {
+	var nodes []api.NodeStatus
+	if err := c.app.call(http.MethodGet, api.PathNodes, nil, &nodes); err != nil {
+		return err
+	}
+	return c.app.printNodes(nodes)
+}
+
+type serversCommand struct {
+	app     *app
+	Service string `long:"service" description:"only servers of this service"`
+}
+
+// Execute implements flags.Commander.
+func (c *serversCommand) Execute([]string) error {
+	var servers []api.ServerStatus
+	query := url.Values{"service": {c.Service}}
+	if err := c.app.call(http.MethodGet, api.PathServers+"?"+query.Encode(), nil, &servers); err != nil {
+		return err
+	}
+	return c.app.printServers(servers)
+}
+
+type servicesCommand struct{ app *app }
+
+// Execute implements flags.Commander.
+func (c *servicesCommand) Execute([]string) error {
+	var services []api.ServiceStatus
+	if err := c.app.call(http.MethodGet, api.PathServices, nil, &services); err != nil {
+		return err
+	}
+	return c.app.printServices(services)
+}
+
+type auditCommand struct {
+	app       *app
+	Arguments struct {
+		ID string `positional-arg-name:"ID"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *auditCommand) Execute([]string) error {
+	query := url.Values{"limit": {"1000"}, "intent": {c.Arguments.ID}}
+	rows := []api.Audit{}
+	for {
+		var page api.AuditList
+		if err := c.app.call(http.MethodGet, api.PathAudit+"?"+query.Encode(), nil, &page); err != nil {
+			return err
+		}
+		rows = append(rows, page.Rows...)
+		if page.Next == "" {
+			return c.app.printAudit(rows)
+		}
+		query.Set("after", page.Next)
+	}
+}
+
+// completionScript uses the completion that go-flags answers when
+// GO_FLAGS_COMPLETION is set.
+const completionScript = `_tarragonctl() {
+  local IFS=$'\n'
+  COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}"))
+}
+complete -F _tarragonctl tarragonctl`
+
+type completionCommand struct{ app *app }
+
+// Execute implements flags.Commander.
+func (c *completionCommand) Execute([]string) error {
+	_, err := fmt.Fprintln(c.app.stdout, completionScript)
+	return err
+}
+
+// addReadCommands adds the commands that change nothing.
+func (a *app) addReadCommands(parser *flags.Parser) {
+	mustAdd(parser, "status", "Show configuration versions, lagging nodes, withdrawals and alarms",
+		"tarragonctl status", &statusCommand{app: a})
+	mustAdd(parser, "nodes", "List the nodes", "tarragonctl nodes -o json", &nodesCommand{app: a})
+	mustAdd(parser, "servers", "List the backend servers", "tarragonctl servers --service measures", &serversCommand{app: a})
+	mustAdd(parser, "services", "List the services with capacity and floor", "tarragonctl services", &servicesCommand{app: a})
+	mustAdd(parser, "audit", "List the steps of one intent or of all", "tarragonctl audit ID", &auditCommand{app: a})
+	mustAdd(parser, "completion", "Print the bash completion", "source <(tarragonctl completion)", &completionCommand{app: a})
+}
