Serve the administration API and drive intents in every node

Cause: any node must take intents, and plans must name callers of the fleet. Change: the node serves package admin, runs the intents controller, and asks its peers for the traffic seen lately when a plan is made. Ruled out: a plan from the traffic of the planning node alone, because callers talk to a few nodes only.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,8 @@
 	Fencer   Fencer
 	Signer   *atmostonce.Signer
 	Claims   *Claims
+	// Recent takes the callers and accounts of each service.
+	Recent *Recent
 	// Paths takes evidence about the paths to host nodes.
 	Paths detect.Sink
 	// MaxBody bounds a request body in bytes.
@@ -151,6 +153,7 @@
 	if err := x.setAccount(r.Header.Get(api.HeaderAccount)); err != nil {
 		return x, err
 	}
+	e.options.Recent.Note(route.Service, x.request.Account, r.RemoteAddr)
 	if err := x.setDeadline(r.Header.Get(api.HeaderDeadline)); err != nil {
 		return x, err
 	}
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -157,6 +157,7 @@
 		Fencer:          w.fencer,
 		Signer:          atmostonce.NewSigner("secret"),
 		Claims:          entry.NewClaims(w.store),
+		Recent:          entry.NewRecent(),
 		Paths:           noPaths{},
 		Telemetry:       telemetry.Discard(),
 		MaxBody:         1 << 10,
--- a/internal/entry/recent.go
+++ b/internal/entry/recent.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/tarragonford/tarragonford/internal/intent"
 )
 
 const (
@@ -24,7 +26,7 @@
 
 type recentPart struct {
 	mu   sync.Mutex
-	seen map[recentKey]time.Time
+	seen map[recentKey]recentUse
 }
 
 // recentKey is one caller or account of one service.
@@ -34,11 +36,17 @@
 	id      string
 }
 
+// recentUse is the use of one service by one caller or account.
+type recentUse struct {
+	requests uint64
+	at       time.Time
+}
+
 // NewRecent returns an empty memory.
 func NewRecent() *Recent {
 	r := &Recent{now: time.Now}
 	for i := range r.shards {
-		r.shards[i].seen = map[recentKey]time.Time{}
+		r.shards[i].seen = map[recentKey]recentUse{}
 	}
 	return r
 }
@@ -66,43 +74,39 @@
 			return
 		}
 	}
-	part.seen[key] = now
+	use := part.seen[key]
+	use.requests++
+	use.at = now
+	part.seen[key] = use
 }
 
 func (p *recentPart) expire(now time.Time) {
-	for key, at := range p.seen {
-		if now.Sub(at) > recentTime {
+	for key, use := range p.seen {
+		if now.Sub(use.at) > recentTime {
 			delete(p.seen, key)
 		}
 	}
 }
 
-// Seen are the callers and accounts of one service.
-type Seen struct {
-	Callers  []string `json:"callers,omitempty"`
-	Accounts []string `json:"accounts,omitempty"`
-}
-
-// ByService returns what was seen lately, in no particular order.
-func (r *Recent) ByService() map[string]Seen {
-	result := map[string]Seen{}
+// Uses returns the callers and the accounts that were seen lately, in no
+// particular order.
+func (r *Recent) Uses() (callers, accounts []intent.Use) {
 	now := r.now()
 	for i := range r.shards {
 		part := &r.shards[i]
 		part.mu.Lock()
 		part.expire(now)
-		for key := range part.seen {
-			seen := result[key.service]
+		for key, seen := range part.seen {
+			use := intent.Use{Name: key.id, Service: key.service, Requests: seen.requests, LastSeen: seen.at.Round(0)}
 			if key.account {
-				seen.Accounts = append(seen.Accounts, key.id)
+				accounts = append(accounts, use)
 			} else {
-				seen.Callers = append(seen.Callers, key.id)
+				callers = append(callers, use)
 			}
-			result[key.service] = seen
 		}
 		part.mu.Unlock()
 	}
-	return result
+	return callers, accounts
 }
 
 // shardOf spreads IDs over the shards (FNV-1a).
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -79,6 +79,16 @@
 // their answer.
 func (h *Host) Running() int { return int(h.running.Load()) }
 
+// RunningByServer returns the running and queued requests of each attached server.
+func (h *Host) RunningByServer() map[string]int {
+	running := map[string]int{}
+	for id, server := range *h.servers.Load() {
+		load := server.load()
+		running[id] = load.Running + load.Queued
+	}
+	return running
+}
+
 // Serve implements forward.Server.
 func (h *Host) Serve(ctx context.Context, r *forward.Request) *forward.Reply {
 	h.running.Add(1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/gossip"
 	"github.com/tarragonford/tarragonford/internal/host"
+	"github.com/tarragonford/tarragonford/internal/intentstore"
 	"github.com/tarragonford/tarragonford/internal/platform"
 	"github.com/tarragonford/tarragonford/internal/route"
 	"github.com/tarragonford/tarragonford/internal/settings"
@@ -39,11 +40,16 @@
 	ledger    *atmostonce.Ledger
 	host      *host.Host
 	entry     *entry.Entry
+	recent    *entry.Recent
+	engine    *intentstore.Engine
 	gossip    *gossip.Service
 	store     *platform.Client
 	syncer    *confsync.Syncer
 	directory *confsync.Directory
 	servers   []*http.Server
+	// lifetime ends with the process; end ends it.
+	lifetime context.Context
+	end      context.CancelFunc
 	// inFlight counts callers' requests between arrival and the end of their answer.
 	inFlight atomic.Int64
 }
@@ -55,7 +61,9 @@
 		return nil, trace.Wrap(err)
 	}
 	n := &Node{config: config, telemetry: t, listeners: l}
+	n.lifetime, n.end = context.WithCancel(context.Background())
 	if err := n.build(); err != nil {
+		n.end()
 		l.close()
 		return nil, trace.Wrap(err)
 	}
@@ -126,6 +134,9 @@
 	fences := fence.New(n.gossip, n.board, n.ledger)
 	n.gossip.Handle(fence.MethodFence, fences.HandleFence)
 	n.gossip.Handle(fence.MethodFenceVia, fences.HandleFenceVia)
+	n.recent = entry.NewRecent()
+	n.engine = intentstore.New(n.store, intentstore.Options{})
+	n.gossip.Handle(methodTraffic, n.answerTraffic)
 	detection := controller.NewDetection(controller.DetectionOptions{
 		Rand:         newRand(),
 		OnTransition: n.reportTransition,
@@ -147,6 +158,7 @@
 		Fencer:          fences,
 		Signer:          signer,
 		Claims:          entry.NewClaims(n.store),
+		Recent:          n.recent,
 		Paths:           detection,
 		MaxBody:         n.config.Limits.RequestBody,
 		MaxDeadline:     n.config.Limits.MaxDeadline,
@@ -162,6 +174,7 @@
 		controller.NewConfiguration(n.syncer, n.config.Timing.FreezeThreshold),
 		detection,
 		controller.NewEjection(n.reportStanding),
+		controller.NewIntents(n.lifetime, n.engine, n.board.View, controller.IntentsOptions{OnStep: n.reportStep}),
 		&invariants{node: n, seen: map[string]int{}},
 	)
 	n.buildServers(attachments)
@@ -196,6 +209,7 @@
 // Run serves until stop is closed, then stops gracefully. It ends at once when
 // ctx ends.
 func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
+	defer n.end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/tarragonford/tarragonford/internal/controller"
 	"github.com/tarragonford/tarragonford/internal/detect"
+	"github.com/tarragonford/tarragonford/internal/intent"
 )
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -17,6 +18,11 @@
 	n.telemetry.StateChange(string(subject), string(t.From), string(t.To), zap.String("target", t.Target))
 }
 
+// reportStep logs a step of an intent that this node took.
+func (n *Node) reportStep(action intent.Action) {
+	n.telemetry.StateChange("intent", "approved", string(action))
+}
+
 // reportStanding logs a change of the share of work of an attached server.
 func (n *Node) reportStanding(change controller.StandingChange) {
 	n.telemetry.StateChange("standing", change.From.String(), change.To.String(),
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -82,16 +81,3 @@
 		}
 	}
 }
-
-// adminHandler serves health and metrics beside the administration API.
-func (n *Node) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", n.telemetry.MetricsHandler())
-	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.board.View().Ready {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return mux
-}
