Try reads at another server after a server's own error

Cause: a gray server answers real work with 500, and reads within the retry budget can be served elsewhere. Change: an idempotent request goes on after an answer of 500 or more, and the first such answer is handed on if no other server does better; the harness waits until every node knows every server. Ruled out: the same for writes, because the server ran them.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,8 @@
 # Added latency and requests per core for one and two hops, beside a direct call.
 bench: bin/harness
 	bin/harness bench --seed $(SEED)
+
+# The main job: a whole deployment as separate processes, under load, with a
+# failing server and a withdrawal.
+demo: bin/harness
+	bin/harness demo --deployment $(DEPLOYMENT) --seed $(SEED)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -36,7 +36,7 @@
 
 func outcome(response *http.Response) string { return response.Header.Get(api.HeaderOutcome) }
 
-var fates = rapid.SliceOfN(rapid.SampledFrom([]fate{fateAnswer, fateRefuse, fateRunLost, fateLost}), 0, 5)
+var fates = rapid.SliceOfN(rapid.SampledFrom([]fate{fateAnswer, fateRefuse, fateRunLost, fateLost, fateError}), 0, 5)
 
 var _ = ginkgo.Describe("a request without a key", func() {
 	// Guards against a booking that runs twice, and against a refusal of a
@@ -77,6 +77,20 @@
 		gomega.Expect(w.host.attempts).To(gomega.Equal(2))
 	})
 
+	// Guards against a read that fails because of one gray server.
+	ginkgo.It("tries another server after a server's own error, for reads only", func() {
+		read := newWorld(fateError, fateAnswer)
+		gomega.Expect(read.send(http.MethodGet, "/s/x", nil).StatusCode).To(gomega.Equal(http.StatusOK))
+		write := newWorld(fateError, fateAnswer)
+		gomega.Expect(write.send(http.MethodPost, "/s/x", nil).StatusCode).To(gomega.Equal(http.StatusInternalServerError))
+		gomega.Expect(write.host.attempts).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("hands on a server's own error when no other server does better", func() {
+		w := newWorld(fateError, fateRefuse, fateRefuse, fateRefuse)
+		gomega.Expect(w.send(http.MethodGet, "/s/x", nil).StatusCode).To(gomega.Equal(http.StatusInternalServerError))
+	})
+
 	ginkgo.It("does not try again while the outcome is unknown", func() {
 		w := newWorld(fateRunLost, fateAnswer)
 		w.fencer.silent = true
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -51,6 +51,7 @@
 	fateRefuse  fate = "refuse"
 	fateRunLost fate = "run, answer lost"
 	fateLost    fate = "not run, answer lost"
+	fateError   fate = "run, answer 500"
 )
 
 // fakeHost deals out fates in order and knows what really ran.
@@ -74,6 +75,9 @@
 	case fateAnswer:
 		h.runs++
 		return &forward.Reply{Answer: &forward.Answer{Status: 200, Body: []byte("ok")}}
+	case fateError:
+		h.runs++
+		return &forward.Reply{Answer: &forward.Answer{Status: 500, Body: []byte("failed")}}
 	case fateRunLost:
 		h.runs++
 		h.done[id] = true
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/tarragonford/tarragonford/api"
 )
 
 const (
@@ -209,7 +211,7 @@
 func (f *fleet) waitReady() error {
 	deadline := time.Now().Add(readyLimit)
 	for _, i := range f.instances {
-		for !f.nodeReady(i) {
+		for !f.nodeReady(i) || !f.knowsAll(i) {
 			if time.Now().After(deadline) {
 				return trace.LimitExceeded("node %s is not ready after %s", i.id, readyLimit)
 			}
@@ -219,6 +221,18 @@
 	return nil
 }
 
+// knowsAll reports whether the node knows every server of the fleet.
+func (f *fleet) knowsAll(i *instance) bool {
+	if f.deployment.operator == "" {
+		return true
+	}
+	var servers []api.ServerStatus
+	if f.adminGet(i, api.PathServers, &servers) != nil {
+		return false
+	}
+	return len(servers) == len(f.instances)
+}
+
 func (f *fleet) nodeReady(i *instance) bool {
 	response, err := http.Get("http://" + i.addr(listenAdmin) + "/readyz")
 	if err != nil {
--- a/test/harness/main.go
+++ b/test/harness/main.go
@@ -17,6 +17,7 @@
 		name, summary string
 		command       any
 	}{
+		{"demo", "Show the whole path of one deployment", &demoCommand{}},
 		{"bench", "Measure added latency and requests per core", &benchCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.summary, c.summary+".", c.command); err != nil {
