--- a/internal/intentstore/drive.go
+++ b/internal/intentstore/drive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/intent"
@@ -19,7 +20,7 @@
 // Any node may drive any intent: version checks let one of them take each step.
 func (e *Engine) Drive(ctx context.Context, node, id string, look func() Situation) (intent.Intent, intent.Action, error) {
 	in, _, err := e.load(ctx, id)
-	if err != nil || in.State.IsTerminal() {
+	if err != nil || !mayBeDue(in, e.now()) {
 		return in, "", err
 	}
 	input, err := e.input(ctx, in.Spec, look)
@@ -43,6 +44,13 @@
 	return next, action, nil
 }
 
+// mayBeDue spares the reads of rows for intents that have ended or that wait
+// for a person.
+func mayBeDue(in intent.Intent, now time.Time) bool {
+	waits := in.State == intent.Draft || in.State == intent.Planned || in.State == intent.Confirmed
+	return !in.State.IsTerminal() && (!waits || in.IsOverdue(now))
+}
+
 // driven evaluates the situation again with fresh rows and returns the outcome
 // of the action if it is still due.
 func (e *Engine) driven(ctx context.Context, in intent.Intent, action intent.Action, look func() Situation) (outcome, error) {
--- a/internal/intentstore/invariant_test.go
+++ b/internal/intentstore/invariant_test.go
@@ -17,6 +17,12 @@
 	"github.com/tarragonford/tarragonford/internal/platform"
 )
 
+// failer is a test or a drawn run.
+type failer interface {
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // TestLifeCycle guards against a change without two confirmations, a lost or
 // doubled step, a version that falls, and stops that break the floor together,
 // with two operators at once, lost and late answers, crashes and outages.
@@ -48,8 +54,8 @@
 				}
 			},
 			"deliver": func(*rapid.T) { m.store.deliverPending() },
-			"settle":  m.settle,
-			"":        m.check,
+			"settle":  func(t *rapid.T) { m.settle(t) },
+			"":        func(t *rapid.T) { m.check(t) },
 		})
 	})
 }
@@ -82,7 +88,7 @@
 	return decodeRows[intent.Audit](m.rows(fleet.PrefixAudit + id + "/"))
 }
 
-func (m *machine) counter(t *rapid.T) uint64 {
+func (m *machine) counter(t failer) uint64 {
 	row, err := m.memory.Get(context.Background(), fleet.Table, fleet.KeyCounter)
 	if err != nil {
 		t.Fatal(err)
@@ -91,7 +97,7 @@
 	return version
 }
 
-func (m *machine) check(t *rapid.T) {
+func (m *machine) check(t failer) {
 	m.checkVersions(t)
 	marks := map[string]intent.Audit{}
 	for _, in := range decodeRows[intent.Intent](m.rows(fleet.PrefixIntent)) {
@@ -103,7 +109,7 @@
 }
 
 // checkVersions asserts that no row's version falls.
-func (m *machine) checkVersions(t *rapid.T) {
+func (m *machine) checkVersions(t failer) {
 	for _, row := range m.rows("") {
 		if row.Version < m.versions[row.Key] {
 			t.Fatalf("row %s fell from version %d to %d", row.Key, m.versions[row.Key], row.Version)
@@ -114,7 +120,7 @@
 
 // checkHistory asserts that the audit rows of an intent tell a legal history
 // that ends in its state, with two confirmations before any effect.
-func (m *machine) checkHistory(t *rapid.T, in intent.Intent, marks map[string]intent.Audit) {
+func (m *machine) checkHistory(t failer, in intent.Intent, marks map[string]intent.Audit) {
 	audits := m.audits(in.ID)
 	if len(audits) != in.Step {
 		t.Fatalf("intent %s has %d steps and %d audit rows", in.ID, in.Step, len(audits))
@@ -152,7 +158,7 @@
 }
 
 // checkMarks asserts that each step's result was reported as it happened.
-func (m *machine) checkMarks(t *rapid.T, marks map[string]intent.Audit) {
+func (m *machine) checkMarks(t failer, marks map[string]intent.Audit) {
 	for mark := range m.dead {
 		if audit, ok := marks[mark]; ok {
 			t.Fatalf("step %+v took effect and was reported as failed", audit)
@@ -167,7 +173,7 @@
 
 // checkChanges asserts that the change rows are without gap and that each
 // comes from one step of an intent with both confirmations.
-func (m *machine) checkChanges(t *rapid.T, marks map[string]intent.Audit) {
+func (m *machine) checkChanges(t failer, marks map[string]intent.Audit) {
 	changes := decodeRows[fleet.Change](m.rows(fleet.PrefixChange))
 	if uint64(len(changes)) != m.counter(t) {
 		t.Fatalf("counter %d with %d change rows", m.counter(t), len(changes))
@@ -221,7 +227,7 @@
 // checkFullCapacity asserts that all accepted stops together, held ones
 // included, leave the floor at every later time if no server is lost. Two stops
 // that are acceptable only alone would break this.
-func (m *machine) checkFullCapacity(t *rapid.T) {
+func (m *machine) checkFullCapacity(t failer) {
 	withdrawals := decodeRows[fleet.Withdrawal](m.rows(fleet.PrefixWithdrawal))
 	times := []time.Time{m.now}
 	for i := range withdrawals {
@@ -241,7 +247,7 @@
 
 // checkApproval asserts, right after an approval, that the plan was made from
 // the rows as they were and that the stop leaves the floor now.
-func (m *machine) checkApproval(t *rapid.T, before intent.Intent) {
+func (m *machine) checkApproval(t failer, before intent.Intent) {
 	written := append(append([]string{}, before.Plan.Writes...), intent.TouchedKeys(before)...)
 	for key, version := range before.Plan.Versions {
 		row, err := m.memory.Get(context.Background(), fleet.Table, key)
@@ -259,7 +265,7 @@
 }
 
 // checkStop asserts that a stop which just took effect leaves the floor.
-func (m *machine) checkStop(t *rapid.T, id string) {
+func (m *machine) checkStop(t failer, id string) {
 	in, _ := m.intent(id)
 	if in.State != intent.InForce || !in.Spec.IsStop() {
 		return
@@ -271,7 +277,7 @@
 
 // settle drives every intent without faults until nothing is due, and asserts
 // that no running stop leaves a service below its floor.
-func (m *machine) settle(t *rapid.T) {
+func (m *machine) settle(t failer) {
 	for round := 0; ; round++ {
 		if round > 20 {
 			t.Fatal("driving does not come to rest")
--- a/internal/intentstore/machine_test.go
+++ b/internal/intentstore/machine_test.go
@@ -44,7 +44,7 @@
 	versions map[string]uint64
 }
 
-func newMachine(t *rapid.T) *machine {
+func newMachine(t failer) *machine {
 	m := &machine{
 		memory: platform.NewMemory(), now: time.Unix(1_800_000_000, 0), nodes: map[string]*fleet.NodeRecord{},
 		lost: map[string]bool{}, dead: map[string]bool{}, taken: map[string]bool{}, versions: map[string]uint64{},
@@ -292,7 +292,8 @@
 }
 
 // trespass now and then tries what must be refused: a confirmation of an older
-// plan, or a step by an identity without the role or with both roles.
+// plan, or a step by an identity without the role or with both roles. Capacity
+// may be lost before the approval.
 func (m *machine) trespass(t *rapid.T, id string) {
 	if rapid.IntRange(0, 2).Draw(t, "trespass") > 0 {
 		return
@@ -310,6 +311,8 @@
 			return err
 		})
 	case intent.Confirmed:
+		server := rapid.SampledFrom([]string{"an0", "an1", "an2", "an3"}).Draw(t, "server")
+		m.lost[server] = rapid.Bool().Draw(t, "lost")
 		approver := rapid.SampledFrom(approvers).Draw(t, "approver")
 		m.run(func() error {
 			_, err := m.engine.Approve(ctx, approver, id, in.Plan.Number, m.look)
@@ -319,7 +322,7 @@
 }
 
 // forward takes the next step of the usual life cycle.
-func (m *machine) forward(t *rapid.T, id string) (err error) {
+func (m *machine) forward(t failer, id string) (err error) {
 	ctx := context.Background()
 	in, _ := m.intent(id)
 	switch in.State {
@@ -345,7 +348,7 @@
 	m.store.arm(noFault, 0, nil)
 }
 
-func (m *machine) driveAll(t *rapid.T) {
+func (m *machine) driveAll(t failer) {
 	for _, id := range m.ids {
 		m.run(func() error {
 			_, action, err := m.engine.Drive(context.Background(), "n0", id, m.look)
--- a/internal/intentstore/transact.go
+++ b/internal/intentstore/transact.go
@@ -45,7 +45,7 @@
 	mark := e.options.NewMark()
 	sent := 0
 	pause := retryPause
-	for range maxAttempts {
+	for attempt := range maxAttempts {
 		if sent > 0 {
 			done, applied, err := e.readBack(ctx, id, sent, mark)
 			if err != nil {
@@ -62,6 +62,9 @@
 			return intent.Intent{}, lostAnswer(err, sent)
 		}
 		result, err := e.evaluate(ctx, in, s)
+		if err == nil && attempt > 0 {
+			err = e.checkIdentity(ctx, s.actor)
+		}
 		if err != nil {
 			return e.settle(ctx, in, sent, mark, err)
 		}
@@ -126,6 +129,22 @@
 	return intent.Intent{}, codes.StoreOutcomeUnknown.New("the step %s of intent %s got no answer in %d attempts", action, id, maxAttempts)
 }
 
+// checkIdentity tells a conflict on the actor's own row from others. It returns
+// an error of code Unauthenticated if the row changed after the token was checked.
+func (e *Engine) checkIdentity(ctx context.Context, actor intent.Actor) error {
+	if actor.RowVersion == 0 {
+		return nil
+	}
+	row, err := e.store.Get(ctx, fleet.Table, fleet.PrefixOperator+actor.ID)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return readError(err)
+	}
+	if errors.Is(err, platform.ErrNotFound) || row.Version != actor.RowVersion {
+		return codes.Unauthenticated.New("identity %s has changed", actor.ID)
+	}
+	return nil
+}
+
 // loadFor loads the intent; ActionCreate finds none.
 func (e *Engine) loadFor(ctx context.Context, id string, action intent.Action) (intent.Intent, uint64, error) {
 	in, version, err := e.load(ctx, id)
