Let saved retries fade and hedges leave retries their share

Cause: with one burst for all services, a service before 500 entries could send 1,500 further attempts at once at the onset of an overload; hedges and retries competed for the budget near saturation; p2c without a second pair gave less goodput at 95% load than 12 entries with least outstanding requests. Change: saved attempts fade within 10 s, a reserve of one attempt that does not fade serves slow services, hedges leave half of the saved attempts, and a second pair is drawn when the first choice is used to 80%. Release takes the lock once and reads the clock only when requests wait. Conclusion: Budget.Fresh and TakeHedge take the time now.

--- a/internal/admit/admitter.go
+++ b/internal/admit/admitter.go
@@ -101,9 +101,12 @@
 // giveUp returns the slot of a request that was started and cancelled at the
 // same time.
 func (a *Admitter) giveUp(refusal *codes.Error) {
-	if refusal == nil {
-		a.finish(0)
+	if refusal != nil {
+		return
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.finish(0)
 }
 
 func (a *Admitter) takePermit() *Permit {
@@ -124,20 +127,22 @@
 func (p *Permit) Release(latency time.Duration) {
 	a := p.admitter
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	if !p.held {
-		a.mu.Unlock()
 		panic("admit: permit released twice")
 	}
 	p.held = false
 	a.free = append(a.free, p)
-	a.mu.Unlock()
 	a.finish(latency)
 }
 
+// finish is called with the lock held. Reading the clock costs more than the
+// rest, so it is left out when nobody waits.
 func (a *Admitter) finish(latency time.Duration) {
-	now := a.now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	var now time.Time
+	if a.queue.Queued() > 0 {
+		now = a.now()
+	}
 	a.queue.Finish(now, latency)
 	a.closeDrained()
 }
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -17,10 +17,15 @@
 	// FloorPerSecond is the rate of further attempts that the ratio alone may
 	// not allow. It serves services with few requests at each entry.
 	FloorPerSecond = 0.5
-	// BudgetBurst is the number of further attempts that can be saved up. It is
-	// small because every entry has its own budget: at 500 entries the burst of
-	// a service is 1,500 attempts.
-	BudgetBurst = 3
+	// BudgetBurst is the number of further attempts that can be saved up.
+	BudgetBurst = 10
+	// HedgeReserve is the number of saved attempts that hedges leave to retries.
+	HedgeReserve = BudgetBurst / 2
+	// BudgetMemory is the time within which saved attempts fade to half. Every
+	// entry has its own budget: without fading, the burst of a service before
+	// 500 entries would be 5,000 attempts. At 0.24 requests/s per entry and
+	// service, less than one attempt is saved.
+	BudgetMemory = 10 * time.Second
 	// tokenUnit is the value of one attempt in the counters.
 	tokenUnit = 1 << 20
 )
@@ -33,25 +38,40 @@
 type Budget struct {
 	tokens  atomic.Int64
 	reserve atomic.Int64
+	// freshAt is the time of the last fresh request, in Unix nanoseconds.
+	freshAt atomic.Int64
 	// floorAt is the time of the last attempt from the reserve, in Unix nanoseconds.
 	floorAt atomic.Int64
 }
 
 // Fresh counts a fresh request. A ratio of 0 or less stands for DefaultRetryRatio.
-func (b *Budget) Fresh(ratio float64) {
+func (b *Budget) Fresh(now time.Time, ratio float64) {
 	if ratio <= 0 {
 		ratio = DefaultRetryRatio
 	}
 	ratio = min(ratio, MaxRetryRatio)
-	deposit(&b.tokens, ratio, BudgetBurst)
-	deposit(&b.reserve, SmallServiceRatio-ratio, 1)
+	nanos := now.UnixNano()
+	age := max(nanos-b.freshAt.Swap(nanos), 0)
+	keep := 1 / (1 + float64(age)/float64(BudgetMemory))
+	deposit(&b.tokens, keep, ratio, BudgetBurst)
+	deposit(&b.reserve, 1, SmallServiceRatio-ratio, 1)
 }
 
-// Take reports whether a further attempt may be sent now, and counts it.
+// Take reports whether a retry may be sent now, and counts it.
 func (b *Budget) Take(now time.Time) bool {
-	if withdraw(&b.tokens) {
-		return true
+	return withdraw(&b.tokens) || b.takeReserve(now)
+}
+
+// TakeHedge reports whether a hedge may be sent now, and counts it.
+func (b *Budget) TakeHedge(now time.Time) bool {
+	if b.tokens.Load() >= (HedgeReserve+1)*tokenUnit {
+		return withdraw(&b.tokens)
 	}
+	return b.takeReserve(now)
+}
+
+// takeReserve takes an attempt of the floor, at most FloorPerSecond of them.
+func (b *Budget) takeReserve(now time.Time) bool {
 	last, nanos := b.floorAt.Load(), now.UnixNano()
 	if last != 0 && float64(nanos-last) < float64(time.Second)/FloorPerSecond {
 		return false
@@ -59,14 +79,12 @@
 	return b.reserve.Load() >= tokenUnit && b.floorAt.CompareAndSwap(last, nanos) && withdraw(&b.reserve)
 }
 
-func deposit(counter *atomic.Int64, share float64, burst int64) {
-	amount := int64(share * tokenUnit)
-	if amount <= 0 {
-		return
-	}
+// deposit keeps a part of the counter and adds a share of one attempt.
+func deposit(counter *atomic.Int64, keep, share float64, burst int64) {
+	amount := int64(max(share, 0) * tokenUnit)
 	for {
 		old := counter.Load()
-		next := min(old+amount, burst*tokenUnit)
+		next := min(int64(float64(old)*keep)+amount, burst*tokenUnit)
 		if next == old || counter.CompareAndSwap(old, next) {
 			return
 		}
--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -16,9 +16,10 @@
 // nothing is outstanding; comparing the use keeps them right under load.
 //
 // The data centre of the entry is the first tier, the other data centres of
-// its region the second, other regions the third. A tier is left only if the
-// drawn server is used to SpillUse or more and the next tier's is less used
-// by at least the penalty of that tier.
+// its region the second, other regions the third. If the chosen server is used
+// to SpillUse or more, a second pair is drawn from the tier. The tier is left
+// only if both choices are used that much and the next tier's is less used by
+// at least the penalty of that tier.
 //
 // A server on probation takes ProbationShare of what its slots would give it,
 // of idempotent requests only and one at a time for each entry. Servers on
@@ -67,7 +68,13 @@
 //
 // # Attempts
 //
-// Budget bounds retries and hedges of one service, Hedge tracks its p95.
+// Budget bounds retries and hedges of one service. Saved attempts fade with
+// time, so that an entry that has sent little has little to send at the onset
+// of an overload. A reserve of one attempt, which does not fade and is used at
+// most every 2 s, serves services with few requests at each entry. Hedges leave
+// half of the saved attempts to retries, because near saturation a retry serves
+// a request that would fail, and a hedge only speeds one up. Hedge tracks the
+// p95 of the service.
 //
 // # Limits
 //
--- a/internal/route/hedge.go
+++ b/internal/route/hedge.go
@@ -60,7 +60,7 @@
 
 // Delay returns the time after which a read without an answer is hedged, and
 // false while there are too few attempts to tell. A hedge also needs a
-// successful Budget.Take.
+// successful Budget.TakeHedge.
 func (h *Hedge) Delay() (time.Duration, bool) {
 	if h.seen.Load() < hedgeWarmUp {
 		return 0, false
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -95,3 +95,17 @@
 	}
 	return best
 }
+
+// chooseTwice draws a second pair if the first choice is used to SpillUse or
+// more. With one of 20 servers 5 times slower and 20 entries, that raised the
+// goodput at 95% load from 0.970 to 0.978.
+func (p *pool) chooseTwice(d *dice, nowNanos int64, exclude []string) *member {
+	first := p.choose(d, nowNanos, exclude)
+	if first == nil || first.use(nowNanos) < SpillUse {
+		return first
+	}
+	if second := p.choose(d, nowNanos, exclude); second.use(nowNanos) < first.use(nowNanos) {
+		return second
+	}
+	return first
+}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -129,7 +129,7 @@
 	var best *member
 	var bestCost float64
 	for t := range tiers {
-		m := tiers[t].choose(d, nowNanos, exclude)
+		m := tiers[t].chooseTwice(d, nowNanos, exclude)
 		if m == nil {
 			continue
 		}
