Add the routing and overload experiments

Cause: the choice of server and the retry budget are to be compared with round robin, least outstanding requests, unbounded retries and no retries. Change: an event-driven model in virtual time runs the code of packages route and admit with 20 servers and 20 or 500 entries; tarragon-load experiment routing and overload print, store and plot its tables. Ruled out: ejection in the model, which would hide what routing alone does.

--- /dev/null
+++ b/internal/experiment/routing.go
@@ -0,0 +1,53 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// routingLength is the virtual time of one run: about 26,000 to 109,000 requests.
+	routingLength   = 30 * time.Second
+	routingDeadline = 2 * time.Second
+	// routingGraySlowdown makes one of the servers several times slower.
+	routingGraySlowdown = 5.0
+	// routingManyEntries is the number of entries at the size to design for. An
+	// entry then sees little of a server's load in its own requests.
+	routingManyEntries = 500
+)
+
+// routingPolicies differ in the choice of the server alone. All retry refused
+// requests twice within the same budget.
+var routingPolicies = []trafficPolicy{
+	{name: "p2c-reported", chooser: choosePowerOfTwo, retries: 2, budgeted: true},
+	{name: "p2c-reported-hedge", chooser: choosePowerOfTwo, retries: 2, budgeted: true, hedge: true},
+	{name: "round-robin", chooser: chooseRoundRobin, retries: 2, budgeted: true},
+	{name: "least-outstanding", chooser: chooseLeastOutstanding, retries: 2, budgeted: true},
+}
+
+// Routing compares the choice of server by package route with round robin and
+// with least outstanding requests at the entry. One of 20 servers is 5 times
+// slower, nothing is ejected, and 20 or 500 entries share the servers.
+var Routing = Definition{
+	Name:    "routing",
+	Summary: "choice of server against round robin and least outstanding",
+	Run:     func(o Options) (*Table, error) { return runRouting(o.Seed, routingLength), nil },
+	Plot:    trafficPlot("Latency with one gray server of 20", "p99 (ms)", 4),
+}
+
+func runRouting(seed uint64, length time.Duration) *Table {
+	table := &Table{Columns: trafficColumns}
+	for _, entries := range []int{trafficEntries, routingManyEntries} {
+		for _, policy := range routingPolicies {
+			name := fmt.Sprintf("%s-%d-entries", policy.name, entries)
+			for _, load := range trafficLoads {
+				result := runTraffic(trafficCase{
+					seed: seed, policy: policy, entryNodes: entries, load: load, length: length,
+					deadline: routingDeadline, graySlowdown: routingGraySlowdown,
+				})
+				addTrafficRow(table, name, load, result)
+			}
+		}
+	}
+	return table
+}
--- /dev/null
+++ b/internal/experiment/traffic_table.go
@@ -0,0 +1,81 @@
+package experiment
+
+import (
+	"strconv"
+
+	"github.com/gravitational/trace"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// trafficColumns are the columns of the routing and overload tables. Goodput
+// is the share of requests answered within the deadline; latencies are those
+// of these answers.
+var trafficColumns = []string{"policy", "load", "goodput", "p50_ms", "p99_ms", "sent_per_request"}
+
+// trafficLoads are relative to the capacity without a fault.
+var trafficLoads = []float64{0.5, 0.8, 0.95, 1.3}
+
+func addTrafficRow(table *Table, policy string, load float64, r *trafficResult) {
+	table.Add(policy, decimal(load, 2), decimal(r.goodput(), 4), decimal(r.quantileMS(0.5), 2),
+		decimal(r.quantileMS(0.99), 2), decimal(r.sentPerRequest(), 4))
+}
+
+func decimal(value float64, digits int) string {
+	return strconv.FormatFloat(value, 'f', digits, 64)
+}
+
+// trafficPlot draws one column over the load, with a line for each policy.
+func trafficPlot(title, label string, column int) Plotter {
+	return func(table *Table, name string) error {
+		p := plot.New()
+		p.Title.Text = title
+		p.X.Label.Text = "load relative to healthy capacity"
+		p.Y.Label.Text = label
+		p.Legend.Top = true
+		p.Legend.Left = true
+		var lines []any
+		for _, policy := range policiesOf(table) {
+			points, err := trafficPoints(table, policy, column)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			lines = append(lines, policy, points)
+		}
+		if err := plotutil.AddLinePoints(p, lines...); err != nil {
+			return trace.Wrap(err)
+		}
+		return trace.Wrap(p.Save(16*vg.Centimeter, 10*vg.Centimeter, name))
+	}
+}
+
+func policiesOf(table *Table) []string {
+	var names []string
+	for _, row := range table.Rows {
+		if len(names) == 0 || names[len(names)-1] != row[0] {
+			names = append(names, row[0])
+		}
+	}
+	return names
+}
+
+func trafficPoints(table *Table, policy string, column int) (plotter.XYs, error) {
+	var points plotter.XYs
+	for _, row := range table.Rows {
+		if row[0] != policy {
+			continue
+		}
+		x, err := strconv.ParseFloat(row[1], 64)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		y, err := strconv.ParseFloat(row[column], 64)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		points = append(points, plotter.XY{X: x, Y: y})
+	}
+	return points, nil
+}
