--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -173,3 +173,9 @@
 	KeyHostLost = define(3006, "key-host-lost", statusConflict, Unknown,
 		"The host incarnation that the key is bound to is gone.", "Check whether it took effect before using a new key.")
 )
+
+// Peers and backend servers.
+var (
+	BadAnnouncement = define(6201, "bad-announcement", statusBadRequest, NotRun,
+		"The announcement of a backend server is malformed.", "Correct the announcement; docs/backend-servers.md lists its fields.")
+)
--- /dev/null
+++ b/test/harness/main.go
@@ -0,0 +1,39 @@
+// Command harness starts the binaries of this repository as separate processes
+// with small stand-ins around them, and drives them for demonstrations, fault
+// runs and measurements. It is test code and is not shipped.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func main() {
+	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range []struct {
+		name, summary string
+		command       any
+	}{
+		{"bench", "Measure added latency and requests per core", &benchCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.summary, c.summary+".", c.command); err != nil {
+			panic(err)
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var flagsError *flags.Error
+	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+		fmt.Println(flagsError.Message)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "harness:", err)
+	return 1
+}
