--- /dev/null
+++ b/internal/architecture/doc.go
@@ -0,0 +1,3 @@
+// Package architecture holds tests of the rules between packages that
+// docs/design.md sets.
+package architecture
