--- a/internal/buildinfo/buildinfo.go
+++ b/internal/buildinfo/buildinfo.go
@@ -1,4 +1,3 @@
-// Package buildinfo gives the version that the binaries print.
 package buildinfo
 
 import "runtime/debug"
--- /dev/null
+++ b/internal/buildinfo/doc.go
@@ -0,0 +1,2 @@
+// Package buildinfo gives the version that the binaries print.
+package buildinfo
--- a/internal/codes/codes_admin.go
+++ b/internal/codes/codes_admin.go
@@ -1,34 +1,32 @@
 package codes
 
-import "net/http"
-
 // Administration.
 var (
-	BadIntent = define(4001, "bad-intent", http.StatusBadRequest, NotRun,
+	BadIntent = define(4001, "bad-intent", statusBadRequest, NotRun,
 		"The intent or the request of the administration API is malformed.", "Correct the named value; docs/operators.md lists the intents.")
-	Unauthenticated = define(4002, "unauthenticated", http.StatusUnauthorized, NotRun,
+	Unauthenticated = define(4002, "unauthenticated", statusUnauthorized, NotRun,
 		"The bearer token is missing or unknown.", "Give a valid token with --token-file or TARRAGON_TOKEN.")
-	Forbidden = define(4003, "forbidden", http.StatusForbidden, NotRun,
+	Forbidden = define(4003, "forbidden", statusForbidden, NotRun,
 		"The role of the identity does not allow this step.", "Ask someone with the named role.")
-	SameIdentity = define(4004, "same-identity", http.StatusForbidden, NotRun,
+	SameIdentity = define(4004, "same-identity", statusForbidden, NotRun,
 		"The approver also created, planned or confirmed the intent.", "Ask another identity with the role approver.")
-	UnknownIntent = define(4005, "unknown-intent", http.StatusNotFound, NotRun,
+	UnknownIntent = define(4005, "unknown-intent", statusNotFound, NotRun,
 		"No intent has this ID.", "List the intents with tarragonctl intent list.")
-	UnknownTarget = define(4006, "unknown-target", http.StatusNotFound, NotRun,
+	UnknownTarget = define(4006, "unknown-target", statusNotFound, NotRun,
 		"The fleet does not know the named server, instance, data centre, service or row.", "Check the name with tarragonctl servers, nodes or services.")
-	FloorWouldBreak = define(4007, "floor-would-break", http.StatusConflict, NotRun,
+	FloorWouldBreak = define(4007, "floor-would-break", statusConflict, NotRun,
 		"The change would bring healthy capacity below the floor.", "Wait for capacity, choose another window, or plan a lower floor first.")
-	PlanStale = define(4008, "plan-stale", http.StatusConflict, NotRun,
+	PlanStale = define(4008, "plan-stale", statusConflict, NotRun,
 		"Something that the plan was made from has changed.", "Make a new plan, read it, and confirm that one.")
-	WrongState = define(4009, "wrong-state", http.StatusConflict, NotRun,
+	WrongState = define(4009, "wrong-state", statusConflict, NotRun,
 		"The state of the intent does not allow this step.", "Read the state with tarragonctl intent get.")
-	ViewNotReady = define(4010, "view-not-ready", http.StatusServiceUnavailable, NotRun,
+	ViewNotReady = define(4010, "view-not-ready", statusServiceUnavailable, NotRun,
 		"The node has no current view of the fleet and cannot plan.", "Use another node, or try again after a short pause.")
-	NothingWithdrawn = define(4011, "nothing-withdrawn", http.StatusConflict, NotRun,
+	NothingWithdrawn = define(4011, "nothing-withdrawn", statusConflict, NotRun,
 		"No withdrawal of this target is in force or scheduled.", "Check the withdrawals with tarragonctl status.")
-	UnknownPath = define(4012, "unknown-path", http.StatusNotFound, NotRun,
+	UnknownPath = define(4012, "unknown-path", statusNotFound, NotRun,
 		"The administration API has no such path or method.", "Compare the versions of tarragonctl and of the node.")
-	IntentExists = define(4013, "intent-exists", http.StatusConflict, NotRun,
+	IntentExists = define(4013, "intent-exists", statusConflict, NotRun,
 		"Another intent has this ID.", "Leave the ID out, or use a new one.")
 	BadCommand = define(4014, "bad-command", 0, NotRun,
 		"The command line is incomplete or malformed.", "Read tarragonctl --help.")
@@ -38,13 +36,13 @@
 
 // Platform and peers.
 var (
-	StoreDown = define(6001, "store-down", http.StatusServiceUnavailable, NotRun,
+	StoreDown = define(6001, "store-down", statusServiceUnavailable, NotRun,
 		"The platform's table does not answer, and nothing was changed.", "Try again when the platform is back; traffic and the configuration in force continue.")
-	StoreOutcomeUnknown = define(6002, "store-outcome-unknown", http.StatusServiceUnavailable, Unknown,
+	StoreOutcomeUnknown = define(6002, "store-outcome-unknown", statusServiceUnavailable, Unknown,
 		"The platform stopped answering while the step was written.", "Repeat the same step; a step that took effect is not done twice.")
-	StoreBusy = define(6003, "store-busy", http.StatusConflict, NotRun,
+	StoreBusy = define(6003, "store-busy", statusConflict, NotRun,
 		"Other changes went first on every attempt, and nothing was changed.", "Try again.")
-	RowUnreadable = define(6004, "row-unreadable", http.StatusInternalServerError, NotRun,
+	RowUnreadable = define(6004, "row-unreadable", statusInternalServerError, NotRun,
 		"A row of the platform's table does not decode.", "Report the named row; a newer program may have written it.")
 	NodeUnreachable = define(6101, "node-unreachable", 0, Unknown,
 		"No node given with --node answered.", "Check the addresses of --node; a step that was sent can be repeated safely.")
--- a/internal/codes/status.go
+++ b/internal/codes/status.go
@@ -4,6 +4,7 @@
 // this package does not import net/http.
 const (
 	statusBadRequest            = 400
+	statusUnauthorized          = 401
 	statusForbidden             = 403
 	statusNotFound              = 404
 	statusConflict              = 409
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -1,4 +1,3 @@
-// Package problem writes coded errors as problem-details bodies (RFC 9457).
 package problem
 
 import (
