Let a node advertise other addresses than those it listens on

Cause: nodes behind address translation, and links that a test cuts, are reached at other addresses than they listen on. Change: the settings advertise.caller, traffic, control and admin; hedges draw on the budget through its reserve for retries.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -28,6 +28,8 @@
 	// budget that grows with fresh requests.
 	Fresh(service fleet.Service, now time.Time)
 	MayRetry(service fleet.Service, now time.Time) bool
+	// MayHedge takes a hedge out of the same budget, leaving retries a reserve.
+	MayHedge(service fleet.Service, now time.Time) bool
 	// HedgeDelay returns the time after which a read is sent to a second server.
 	HedgeDelay(service fleet.Service) (time.Duration, bool)
 	// Answered records the latency of an answer.
--- a/internal/entry/balancer.go
+++ b/internal/entry/balancer.go
@@ -44,8 +44,8 @@
 }
 
 // Fresh implements Balancer.
-func (b *routerBalancer) Fresh(service fleet.Service, _ time.Time) {
-	b.router.Budget(service.Name).Fresh(service.RetryRatio)
+func (b *routerBalancer) Fresh(service fleet.Service, now time.Time) {
+	b.router.Budget(service.Name).Fresh(now, service.RetryRatio)
 }
 
 // MayRetry implements Balancer.
@@ -53,6 +53,11 @@
 	return b.router.Budget(service.Name).Take(now)
 }
 
+// MayHedge implements Balancer.
+func (b *routerBalancer) MayHedge(service fleet.Service, now time.Time) bool {
+	return b.router.Budget(service.Name).TakeHedge(now)
+}
+
 // HedgeDelay implements Balancer.
 func (b *routerBalancer) HedgeDelay(service fleet.Service) (time.Duration, bool) {
 	return b.router.Hedge(service.Name).Delay()
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -128,6 +128,7 @@
 func (*fakeBalancer) Finished(string, *forward.Reply, time.Time)     {}
 func (*fakeBalancer) Fresh(fleet.Service, time.Time)                 {}
 func (*fakeBalancer) MayRetry(fleet.Service, time.Time) bool         { return true }
+func (*fakeBalancer) MayHedge(fleet.Service, time.Time) bool         { return true }
 func (*fakeBalancer) HedgeDelay(fleet.Service) (time.Duration, bool) { return 0, false }
 func (*fakeBalancer) Answered(fleet.Service, time.Duration)          {}
 
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -37,7 +37,7 @@
 
 // hedge returns the server for a second attempt within the retry budget, or nil.
 func (x *exchange) hedge() *fleet.Candidate {
-	if x.request.Attempt >= maxAttempts || !x.entry.options.Balancer.MayRetry(x.service, time.Now()) {
+	if x.request.Attempt >= maxAttempts || !x.entry.options.Balancer.MayHedge(x.service, time.Now()) {
 		return nil
 	}
 	candidate, err := x.choose()
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -47,6 +47,14 @@
 	return l, nil
 }
 
+// advertised returns the address that others are told.
+func advertised(configured string, listener net.Listener) string {
+	if configured != "" {
+		return configured
+	}
+	return listener.Addr().String()
+}
+
 func (l *listeners) close() {
 	for _, listener := range []net.Listener{l.caller, l.traffic, l.control, l.attach, l.admin} {
 		if listener != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,21 +105,22 @@
 	})
 	n.gossip.Handle(confsync.MethodSince, n.syncer.AnswerSince)
 	n.gossip.OnConfigVersion(n.syncer.Hint)
-	n.directory = confsync.NewDirectory(n.config.ID, n.listeners.control.Addr().String(), n.store,
+	n.directory = confsync.NewDirectory(n.config.ID, n.board.View().Self.ControlAddr, n.store,
 		n.config.Platform.Timeout, n.gossip.AddSeeds)
 }
 
 // firstRecord describes the node before anything is attached to it.
 func (n *Node) firstRecord() fleet.NodeRecord {
+	advertise := n.config.Advertise
 	return fleet.NodeRecord{
 		ID:          n.config.ID,
 		Region:      n.config.Region,
 		DataCentre:  n.config.DataCentre,
 		Version:     fleet.Version{Incarnation: uint64(time.Now().UnixNano()), Sequence: 1},
-		CallerAddr:  n.listeners.caller.Addr().String(),
-		TrafficAddr: n.listeners.traffic.Addr().String(),
-		ControlAddr: n.listeners.control.Addr().String(),
-		AdminAddr:   n.listeners.admin.Addr().String(),
+		CallerAddr:  advertised(advertise.Caller, n.listeners.caller),
+		TrafficAddr: advertised(advertise.Traffic, n.listeners.traffic),
+		ControlAddr: advertised(advertise.Control, n.listeners.control),
+		AdminAddr:   advertised(advertise.Admin, n.listeners.admin),
 	}
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -47,13 +47,18 @@
 		owner[*address] = k.path
 	}
 	for i, seed := range l.node.Seeds {
-		if other, taken := owner[seed]; taken && other != "listen.control" {
+		if other, taken := owner[seed]; taken && !isControl(other) {
 			path := l.seedPath(i)
 			l.fault(l.seen[path], path, codes.SettingsAddressClash, "%s is the address of %s; seeds are control addresses", seed, other)
 		}
 	}
 }
 
+// isControl reports whether a key holds a control address of this node.
+func isControl(path string) bool {
+	return path == "listen.control" || path == "advertise.control"
+}
+
 // seedPath returns the path in the file of stored seed i. Wrong seeds before
 // it are not stored.
 func (l *loader) seedPath(i int) string {
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -69,6 +69,15 @@
 	{path: "listen.admin", kind: kindAddress, required: true, about: "Listener for the administration API, health and metrics.",
 		field: func(n *Node) any { return &n.Listen.Admin }},
 
+	{path: "advertise.caller", kind: kindAddress, about: "Address that callers are told, where it differs from listen.caller.",
+		field: func(n *Node) any { return &n.Advertise.Caller }},
+	{path: "advertise.traffic", kind: kindAddress, about: "Address that other nodes send requests to, where it differs from listen.traffic.",
+		field: func(n *Node) any { return &n.Advertise.Traffic }},
+	{path: "advertise.control", kind: kindAddress, about: "Address that other nodes call, where it differs from listen.control.",
+		field: func(n *Node) any { return &n.Advertise.Control }},
+	{path: "advertise.admin", kind: kindAddress, about: "Address that operators are told, where it differs from listen.admin.",
+		field: func(n *Node) any { return &n.Advertise.Admin }},
+
 	{path: "platform.url", kind: kindURL, required: true, about: "Base URL of the platform's table service.",
 		field: func(n *Node) any { return &n.Platform.URL }},
 	durationKey("platform.timeout", 10*time.Millisecond, time.Minute, "Limit of one call of the platform.",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,8 @@
 	Region, DataCentre string
 	// Listen holds the addresses of the listeners.
 	Listen Listen
+	// Advertise holds the addresses that others are told where they differ.
+	Advertise Advertise
 	// Seeds are control addresses of other nodes. Default none.
 	Seeds []string
 	// Platform says how to reach the platform's table service.
@@ -40,6 +42,15 @@
 	Admin string
 }
 
+// Advertise holds the addresses that others are told, where they differ from
+// those of the listeners, for instance behind address translation.
+type Advertise struct {
+	Caller  string
+	Traffic string
+	Control string
+	Admin   string
+}
+
 // Platform says how to reach the platform's table service.
 type Platform struct {
 	// URL is the base URL of the service.
