--- a/internal/intentstore/invariant_test.go
+++ b/internal/intentstore/invariant_test.go
@@ -284,7 +284,12 @@
 		}
 		busy := false
 		for _, id := range m.ids {
+			due := intent.DueStops(m.spreadView(), m.now)
 			_, action, err := m.engine.Drive(context.Background(), "n1", id, m.look)
+			urgent := action == intent.ActionHold || action == intent.ActionResume
+			if urgent && !slices.Contains(due, id) {
+				t.Fatalf("step %s of intent %s is not found in the view", action, id)
+			}
 			if _, exists := m.intent(id); exists && err != nil {
 				t.Fatal(err)
 			}
@@ -305,6 +310,17 @@
 	}
 }
 
+// spreadView returns the view of a node that has the newest configuration.
+func (m *machine) spreadView() *fleet.View {
+	view := m.look().View
+	var rows []fleet.Row
+	for _, row := range m.rows("") {
+		rows = append(rows, fleet.Row{Key: row.Key, Version: 1, Value: row.Value})
+	}
+	view.Config, _ = fleet.EmptyConfig().Apply(1, rows)
+	return view
+}
+
 // brokenBy says which service is below its floor because of a running stop.
 func (m *machine) brokenBy(in intent.Intent, withdrawals []fleet.Withdrawal) string {
 	var others []fleet.Withdrawal
