Keep unknown fields of a service's row in a change

Cause: a node with an older program that changes a floor would drop, and so revert, settings that a newer program put in force. Change: the fields that the program does not know are copied.

--- a/cmd/tarragonctl/main.go
+++ b/cmd/tarragonctl/main.go
@@ -40,9 +40,15 @@
 
 Environment: TARRAGON_NODE (addresses, separated by commas) and TARRAGON_TOKEN.
 
-Exit codes: 0 success, 1 other failure, 2 malformed command, 3 refused and nothing
-changed, 4 token or role, 5 no node or platform and nothing changed, 6 outcome
-unknown (repeat the same command), 7 in force, but not everywhere within the time.
+Exit codes:
+  0 success
+  1 other failure
+  2 malformed command
+  3 refused, nothing changed
+  4 token or role
+  5 no node or platform, nothing changed
+  6 outcome unknown, repeat the same command
+  7 in force, but not everywhere within the time
 
 Completion in bash: source <(tarragonctl completion)`
 
--- a/internal/intent/change.go
+++ b/internal/intent/change.go
@@ -22,7 +22,8 @@
 		if err := changed.Validate(); err != nil {
 			return nil, codes.BadIntent.New("%v", err)
 		}
-		return single(encode(fleet.PrefixService+spec.Service, changed))
+		key := fleet.PrefixService + spec.Service
+		return single(patch(key, rows[key].Value, service, changed))
 	case Route:
 		return routeChanges(spec, rows)
 	case Account:
--- a/internal/intent/rows.go
+++ b/internal/intent/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sort"
 	"strings"
 
@@ -61,3 +62,39 @@
 	data, err := json.Marshal(value)
 	return RowWrite{Key: key, Value: data}, err
 }
+
+// patch encodes the changed form of a row and keeps the fields of its stored
+// form that this program does not know. Without that, a node with an older
+// program would revert settings that a newer one put in force.
+func patch(key string, stored json.RawMessage, before, after any) (RowWrite, error) {
+	fields, err := fieldsOf(stored)
+	if err != nil {
+		return RowWrite{}, codes.RowUnreadable.Wrap(err, "row %s", key)
+	}
+	known, err := encodedFields(before)
+	if err != nil {
+		return RowWrite{}, err
+	}
+	for name := range known {
+		delete(fields, name)
+	}
+	changed, err := encodedFields(after)
+	if err != nil {
+		return RowWrite{}, err
+	}
+	maps.Copy(fields, changed)
+	return encode(key, fields)
+}
+
+func fieldsOf(data json.RawMessage) (map[string]json.RawMessage, error) {
+	fields := map[string]json.RawMessage{}
+	return fields, json.Unmarshal(data, &fields)
+}
+
+func encodedFields(value any) (map[string]json.RawMessage, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return nil, err
+	}
+	return fieldsOf(data)
+}
