Run a deployment under randomised faults

Cause: the promises must hold on separate processes while things fail. Change: harness soak draws kills, freezes, one-way cuts, gray servers, platform faults, planned stops and racing operators from a seed, and compares the servers' own records with what callers saw; servers announce other addresses. Ruled out: ports asked from the kernel twice: a relay took the port of a node that had not bound it yet, and that node did not start.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,7 @@
 # failing server and a withdrawal.
 demo: bin/harness
 	bin/harness demo --deployment $(DEPLOYMENT) --seed $(SEED)
+
+# A bounded run under randomised faults; the schedule follows from SEED.
+soak: bin/harness
+	bin/harness soak --deployment $(DEPLOYMENT) --seed $(SEED) --duration $(DURATION)
--- a/cmd/tarragon-standin/server.go
+++ b/cmd/tarragon-standin/server.go
@@ -16,6 +16,7 @@
 	ID          string        `long:"id" required:"yes" description:"ID of the server"`
 	Service     string        `long:"service" required:"yes" description:"name of the service"`
 	Listen      string        `long:"listen" default:"127.0.0.1:0" description:"host:port to serve on"`
+	Advertise   string        `long:"advertise" description:"host:port to announce, where it differs from --listen"`
 	Node        string        `long:"node" required:"yes" description:"attach address of the node beside the server"`
 	Slots       int           `long:"slots" default:"6" description:"requests run at the same time"`
 	ConnLimit   int           `long:"conn-limit" default:"350" description:"connections accepted"`
@@ -31,7 +32,7 @@
 // Execute implements flags.Commander.
 func (c *serverCommand) Execute([]string) error {
 	server, err := backend.New(backend.Options{
-		ID: c.ID, Service: c.Service, Listen: c.Listen, Node: c.Node,
+		ID: c.ID, Service: c.Service, Listen: c.Listen, Advertise: c.Advertise, Node: c.Node,
 		Slots: c.Slots, ConnLimit: c.ConnLimit,
 		ServiceTime: c.ServiceTime, Sigma: c.Sigma, WarmUp: c.WarmUp, ProbeTime: c.ProbeTime,
 		Record: c.Record, Seed: c.Seed,
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -29,6 +29,8 @@
 	Service string
 	// Listen is the host:port for requests, probes and the fault control.
 	Listen string
+	// Advertise is the address that the server announces; empty for its own.
+	Advertise string
 	// Node is the attach address of the node beside the server.
 	Node  string
 	Slots int
@@ -103,7 +105,11 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	stopAnnouncing := make(chan struct{})
-	go s.announceLoop(listener.Addr().String(), stopAnnouncing)
+	addr := s.options.Advertise
+	if addr == "" {
+		addr = listener.Addr().String()
+	}
+	go s.announceLoop(addr, stopAnnouncing)
 	select {
 	case err := <-served:
 		return err
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -35,6 +36,24 @@
 	backend    *process
 	// life counts the starts of the server, so that each life has its own seed.
 	life int
+	// controlLink, trafficLink and serverLink are relays in front of the node
+	// and the server; nil if others reach them directly.
+	controlLink, trafficLink, serverLink *link
+	// mu guards the processes and the counts of the faults that hit them.
+	mu                   sync.Mutex
+	nodeHits, serverHits int
+	// nodeBusy and serverBusy are held while the process is replaced.
+	nodeBusy, serverBusy sync.Mutex
+}
+
+// hits returns the number of faults that hit the node or the server.
+func (i *instance) hits(node bool) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if node {
+		return i.nodeHits
+	}
+	return i.serverHits
 }
 
 // addr returns an address of the node, by the index of its listener.
@@ -60,6 +79,9 @@
 	platform    *process
 	platformURL string
 	instances   []*instance
+	// platformLink is a relay in front of the platform, for every second node.
+	platformLink *link
+	links        []*link
 }
 
 // newFleet writes nothing yet; start does.
@@ -91,6 +113,10 @@
 	f.instances = append(f.instances, i)
 }
 
+// handedOut are the ports that freePorts returned before. They may not be bound
+// yet, so the kernel could offer them again.
+var handedOut = map[int]bool{}
+
 // freePorts asks the kernel for ports that are free now.
 func freePorts(count int) ([]int, error) {
 	var held []net.Listener
@@ -100,13 +126,17 @@
 		}
 	}()
 	var ports []int
-	for range count {
+	for len(ports) < count {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
 		held = append(held, listener)
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		port := listener.Addr().(*net.TCPAddr).Port
+		if !handedOut[port] {
+			handedOut[port] = true
+			ports = append(ports, port)
+		}
 	}
 	return ports, nil
 }
@@ -133,6 +163,10 @@
 	if err := f.startPlatform(); err != nil {
 		return err
 	}
+	return f.startInstances()
+}
+
+func (f *fleet) startInstances() error {
 	for _, i := range f.instances {
 		if err := f.startNode(i); err != nil {
 			return err
@@ -156,8 +190,10 @@
 	if err := os.WriteFile(name, []byte(f.settings(i)), 0o644); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	var err error
-	i.node, err = start(f.dir, i.id, "tarragond", "--config", name)
+	p, err := start(f.dir, i.id, "tarragond", "--config", name)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.node = p
 	return err
 }
 
@@ -167,6 +203,10 @@
 	for _, other := range f.instances[:min(3, len(f.instances))] {
 		seeds = append(seeds, fmt.Sprintf("%q", other.addr(listenControl)))
 	}
+	platformURL := f.platformURL
+	if f.platformLink != nil && i.index%2 == 1 {
+		platformURL = "http://" + f.platformLink.addr
+	}
 	return fmt.Sprintf(`id: %s
 region: %s
 data_centre: %s
@@ -176,7 +216,7 @@
   control: %s
   attach: %s
   admin: %s
-seeds: [%s]
+%sseeds: [%s]
 platform:
   url: %s
 secret: example-secret-not-for-production
@@ -186,7 +226,15 @@
   log_format: json
 `, i.id, f.deployment.region, i.dataCentre,
 		i.addr(listenCaller), i.addr(listenTraffic), i.addr(listenControl), i.addr(listenAttach), i.addr(listenAdmin),
-		strings.Join(seeds, ", "), f.platformURL)
+		i.advertised(), strings.Join(seeds, ", "), platformURL)
+}
+
+// advertised returns the settings of the addresses that go through relays.
+func (i *instance) advertised() string {
+	if i.controlLink == nil {
+		return ""
+	}
+	return fmt.Sprintf("advertise:\n  traffic: %s\n  control: %s\n", i.trafficLink.addr, i.controlLink.addr)
 }
 
 func (f *fleet) startServer(i *instance) error {
@@ -195,15 +243,21 @@
 	if f.noRecord {
 		record = ""
 	}
-	var err error
-	i.backend, err = start(f.dir, i.server, "tarragon-standin", "server",
+	args := []string{"server",
 		"--id", i.server, "--service", i.service,
 		"--listen", fmt.Sprintf("127.0.0.1:%d", i.serverPort),
 		"--node", i.addr(listenAttach),
 		"--slots", fmt.Sprint(f.deployment.slots), "--conn-limit", fmt.Sprint(f.deployment.conns),
 		"--service-time", f.serviceTime,
 		"--record", record,
-		"--seed", fmt.Sprint(1000*i.life+i.index))
+		"--seed", fmt.Sprint(1000*i.life + i.index)}
+	if i.serverLink != nil {
+		args = append(args, "--advertise", i.serverLink.addr)
+	}
+	p, err := start(f.dir, i.server, "tarragon-standin", args...)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.backend = p
 	return err
 }
 
@@ -277,6 +331,9 @@
 	for _, i := range f.instances {
 		endProcess(i.node)
 	}
+	for _, l := range f.links {
+		l.end()
+	}
 	if f.platform != nil {
 		f.platform.signal(syscall.SIGCONT)
 		f.platform.signal(syscall.SIGTERM)
--- a/test/harness/load.go
+++ b/test/harness/load.go
@@ -55,6 +55,8 @@
 	comparison *report.Comparison
 	attempts   []report.Attempt
 	records    []report.Record
+	// printed counts the requests that were printed whole.
+	printed int
 }
 
 // collect reads the files of the callers and of every server.
--- a/test/harness/main.go
+++ b/test/harness/main.go
@@ -18,6 +18,7 @@
 		command       any
 	}{
 		{"demo", "Show the whole path of one deployment", &demoCommand{}},
+		{"soak", "Run a deployment under randomised faults", &soakCommand{}},
 		{"bench", "Measure added latency and requests per core", &benchCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.summary, c.summary+".", c.command); err != nil {
