Refuse target flags beside a mix file, and measure sampled hops

Cause: target flags were ignored without notice when a mix file was given, and the claim that a collector that hangs costs requests nothing had no figure.

Change: the flags and the file exclude each other; a test holds docs/load.md and the keys of the mix together; BenchmarkSampledHop compares a collector that accepts spans with one that hangs.

--- a/cmd/tarragon-load/run.go
+++ b/cmd/tarragon-load/run.go
@@ -15,8 +15,8 @@
 )
 
 // runCommand holds the options of "tarragon-load run". Flags that are given
-// replace the values of the mix file; the flags of the target apply only
-// without a mix file.
+// replace the values of the mix file; the flags of the target are refused with a
+// mix file.
 type runCommand struct {
 	Entries     []string       `long:"entry" required:"yes" value-name:"ADDR" description:"entry address, host:port; may be repeated"`
 	Mix         string         `long:"mix" value-name:"FILE" description:"YAML file with the mix; docs/load.md describes it"`
@@ -33,6 +33,9 @@
 	CSV         string         `long:"csv" value-name:"FILE" description:"write every attempt to this file"`
 }
 
+// defaultPath repeats the default of --path.
+const defaultPath = "/"
+
 // targetFlags describe the only target of a run without a mix file.
 type targetFlags struct {
 	Service  string  `long:"service" description:"name of the service, for keys issued by nodes"`
@@ -82,9 +85,12 @@
 
 func (c *runCommand) mix() (loadgen.Mix, error) {
 	mix, err := loadgen.DefaultMix(), error(nil)
-	if c.Mix != "" {
+	switch {
+	case c.Mix != "" && c.Target != (targetFlags{Path: defaultPath}):
+		return mix, trace.BadParameter("--mix and the flags of the target exclude each other")
+	case c.Mix != "":
 		mix, err = loadgen.LoadMix(c.Mix)
-	} else {
+	default:
 		mix.Targets = []loadgen.Target{{Service: c.Target.Service, Host: c.Target.Host, Path: c.Target.Path,
 			Writes: c.Target.Writes, Keyed: c.Target.Keyed, NodeKeys: c.Target.NodeKeys, Padding: c.Target.Padding}}
 	}
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strconv"
 	"strings"
 	"sync"
@@ -259,6 +260,23 @@
 	}
 }
 
+// Guards against a key of the mix file that docs/load.md does not describe.
+func TestMixIsDescribed(t *testing.T) {
+	page, err := os.ReadFile("../../docs/load.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	check := func(structure reflect.Type, prefix string) {
+		for i := range structure.NumField() {
+			if key := prefix + structure.Field(i).Tag.Get("yaml"); key != "targets" && !strings.Contains(string(page), "| `"+key+"` |") {
+				t.Errorf("docs/load.md does not describe %s", key)
+			}
+		}
+	}
+	check(reflect.TypeFor[Mix](), "")
+	check(reflect.TypeFor[Target](), "targets[].")
+}
+
 func FuzzParseResult(f *testing.F) {
 	f.Add("1004", "not-run")
 	f.Add("", "")
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -258,3 +258,22 @@
 		}
 	})
 }
+
+// BenchmarkSampledHop compares the cost of a sampled hop while the collector
+// accepts spans and while it hangs.
+func BenchmarkSampledHop(b *testing.B) {
+	for name, exporter := range map[string]sdktrace.SpanExporter{"up": tracetest.NewNoopExporter(), "hangs": blockedExporter{}} {
+		b.Run(name, func(b *testing.B) {
+			metrics := &Metrics{}
+			tracer := tracerFor(exporter, 1, resource.Empty(), metrics)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, span := tracer.StartRequest(context.Background(), "entry")
+				span.End()
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = tracer.shutdown(ctx)
+		})
+	}
+}
