--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 DEPLOYMENT ?= trust
 NODES ?= 21
 
-.PHONY: all build test lint demo soak bench convergence clean
+.PHONY: all build test lint demo soak bench convergence bin/harness clean
 
 all: build
 
@@ -21,3 +21,19 @@
 # The seeds of property tests are fixed, so that a run gives the same verdict every time.
 test:
 	SEED=$(SEED) scripts/test.sh
+
+bin/harness: build
+	go build -o bin/harness ./test/harness
+
+# Added latency and requests per core for one and two hops, beside a direct call.
+bench: bin/harness
+	bin/harness bench --seed $(SEED)
+
+# The main job: a whole deployment as separate processes, under load, with a
+# failing server and a withdrawal.
+demo: bin/harness
+	bin/harness demo --deployment $(DEPLOYMENT) --seed $(SEED)
+
+# A bounded run under randomised faults; the schedule follows from SEED.
+soak: bin/harness
+	bin/harness soak --deployment $(DEPLOYMENT) --seed $(SEED) --duration $(DURATION)
--- /dev/null
+++ b/internal/forward/handler.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"context"
+	"crypto/subtle"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
+)
+
+// Server runs requests at attached backend servers; package host implements it.
+type Server interface {
+	// Serve runs one attempt and returns its reply, never nil.
+	Serve(ctx context.Context, r *Request) *Reply
+}
+
+// Handler takes hops on the traffic listener.
+type Handler struct {
+	// Token is the credential that a hop must carry.
+	Token string
+	// MaxBody bounds a request body in bytes.
+	MaxBody int64
+	// Server runs the requests.
+	Server Server
+	// Telemetry counts and traces the hops.
+	Telemetry *telemetry.Telemetry
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get(headerToken)), []byte(h.Token)) != 1 {
+		http.Error(w, "the hop carries no valid token", http.StatusForbidden)
+		return
+	}
+	request, err := decode(r.Header, time.Now())
+	if err != nil {
+		h.write(w, r.Header.Get(headerID), Refuse(err))
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBody))
+	if err != nil {
+		// The request did not arrive whole, so nothing of it runs.
+		h.write(w, request.ID, Refuse(codes.BadRequest.Wrap(err, "request body")))
+		return
+	}
+	request.Body = body
+	ctx, span := h.Telemetry.Tracer.StartHop(telemetry.Extract(r.Context(), r.Header), "host", oteltrace.SpanKindServer)
+	defer span.End()
+	reply := h.Server.Serve(ctx, request)
+	h.count(span, reply)
+	h.write(w, request.ID, reply)
+}
+
+func (h *Handler) count(span telemetry.Span, reply *Reply) {
+	result := telemetry.Result{Outcome: codes.Ran}
+	if reply.Err != nil {
+		result = telemetry.Result{Code: reply.Err.Code.Number, Outcome: reply.Err.Code.Outcome}
+		span.Fail(reply.Err.Code.Name)
+	}
+	h.Telemetry.Metrics.HostRequests.Inc(result)
+}
+
+func (h *Handler) write(w http.ResponseWriter, id string, reply *Reply) {
+	defer reply.Close()
+	header := w.Header()
+	header.Set(headerID, id)
+	if reply.HasLoad {
+		header.Set(headerRunning, strconv.Itoa(reply.Load.Running))
+		header.Set(headerQueued, strconv.Itoa(reply.Load.Queued))
+	}
+	if reply.Fenced {
+		header.Set(headerFenced, "1")
+	}
+	if reply.Err != nil {
+		header.Set(headerCode, strconv.Itoa(reply.Err.Code.Number))
+		header.Set(headerDetail, reply.Err.Detail)
+		header.Set("Content-Length", "0")
+		return
+	}
+	h.writeAnswer(w, reply.Answer)
+}
+
+func (h *Handler) writeAnswer(w http.ResponseWriter, answer *Answer) {
+	header := w.Header()
+	CopyEndToEnd(header, answer.Header)
+	header.Set(headerStatus, strconv.Itoa(answer.Status))
+	if answer.Replayed {
+		header.Set(headerReplayed, "1")
+	}
+	if answer.Rest == nil {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	if _, err := w.Write(answer.Body); err != nil {
+		return
+	}
+	if answer.Rest == nil {
+		return
+	}
+	if _, err := io.Copy(w, answer.Rest); err != nil {
+		// Ending the response here would make a cut answer look whole.
+		panic(http.ErrAbortHandler)
+	}
+}
