Add the detection experiment and tune the detector by it

Cause: the first detector was untried.

Change: tarragon-load experiment detection runs the detector and two baselines in virtual time. In the detector, latencies in the window are rated again when the baseline changes, verdicts on latency or a stall need fresh evidence that peers are as usual, none is given while the baseline rises, the lasting difference of a server from its peers is learned, median buckets are finer, and one pause falls into one block of bounded evidence.

Ruled out: bounding the loss of one request more tightly than its gain; a healthy server 1.6 times slower than its peers then has almost no negative drift.

--- a/cmd/tarragon-load/experiments.go
+++ b/cmd/tarragon-load/experiments.go
@@ -10,7 +10,7 @@
 
 // experiments lists the experiments in the order of the help text.
 func experiments() []experiment.Definition {
-	return []experiment.Definition{}
+	return []experiment.Definition{experiment.Detection}
 }
 
 // experimentCommand holds the options of "tarragon-load experiment".
--- a/internal/detect/baseline.go
+++ b/internal/detect/baseline.go
@@ -32,8 +32,15 @@
 	defaultSigma    = 0.7
 	normalP90       = 1.2816
 	normalP95       = 1.6449
-	medianPerOctave = 2.0
+	medianPerOctave = 4.0
 	failuresPerBin  = 2.0
+	// tolerance is how much slower than the median of its peers, or than what
+	// is typical of it, a healthy server may be for a while.
+	tolerance = 1.2
+	// maxTypical bounds how much slower than its peers a server may be at all
+	// times; typicalTime is the time in which the detector learns it.
+	maxTypical  = 1.6
+	typicalTime = time.Minute
 )
 
 // DefaultBaseline holds for a service without peers.
@@ -76,7 +83,7 @@
 	return time.Duration(float64(b.Median) * math.Exp(normalP95*b.Sigma))
 }
 
-// The buckets of fleet.Observed. Medians are in steps of a factor of 2^(1/2)
+// The buckets of fleet.Observed. Medians are in steps of a factor of 2^(1/4)
 // from 100 µs, spreads in steps of 0.1, failures in steps of a factor of 2
 // from 0.25%.
 const (
@@ -117,35 +124,48 @@
 
 // Sizes of the windows of a summary. The median over 32 requests shows a
 // change of the whole service after about 16 of them, 0.8 s at 20 requests/s;
-// its standard error is 11% at a sigma of 0.5, a third of what moves a bucket.
+// its standard error is 11% at a sigma of 0.5, and a bucket moves at 14%.
 const (
 	shortWindow = 32
 	longWindow  = 256
 )
 
-// window keeps the latest latencies of one target.
+// sample is one finished request of a target.
+type sample struct {
+	// at is in nanoseconds of Unix time.
+	at      int64
+	latency time.Duration
+	failed  bool
+	// unrated samples are no evidence of latency: failures, and requests that
+	// met a cold start or a pause of this process.
+	unrated bool
+}
+
+// window keeps the latest finished requests of one target.
 type window struct {
-	latencies [longWindow]float32
-	failed    [longWindow]bool
-	next      int
-	count     int
-	fails     int
+	samples [longWindow]sample
+	next    int
+	count   int
+	fails   int
 }
 
-// add stores one finished request, in seconds.
-func (w *window) add(seconds float64, failed bool) {
-	if w.count == longWindow && w.failed[w.next] {
+func (w *window) add(s sample) {
+	if w.count == longWindow && w.samples[w.next].failed {
 		w.fails--
 	}
-	w.latencies[w.next] = float32(seconds)
-	w.failed[w.next] = failed
-	if failed {
+	w.samples[w.next] = s
+	if s.failed {
 		w.fails++
 	}
 	w.next = (w.next + 1) % longWindow
 	w.count = min(w.count+1, longWindow)
 }
 
+// back returns the i-th latest sample, from 1.
+func (w *window) back(i int) *sample {
+	return &w.samples[(w.next-i+longWindow)%longWindow]
+}
+
 // summary returns the published form, starting from the last one. Ages of
 // running requests above the median count, so that a service that stalls as a
 // whole is seen to be slow by its peers.
@@ -164,18 +184,25 @@
 	sort.Float64s(short)
 	next := old
 	next.Median = move(old.Median, medianBucket(time.Duration(short[len(short)/2]*float64(time.Second))))
+	next.Failures = move(old.Failures, failuresBucket(float64(w.fails)/float64(w.count)))
+	return next
+}
+
+// spread returns the bucket of the spread of latencies.
+func (w *window) spread(old uint8, scratch []float64) uint8 {
+	if w.count < shortWindow/2 {
+		return old
+	}
 	long := w.latest(scratch[:0], longWindow)
 	sort.Float64s(long)
 	ratio := long[len(long)*9/10] / max(long[len(long)/2], 1e-6)
-	next.Spread = max(move(old.Spread, math.Log(ratio)/normalP90/sigmaStep), 1)
-	next.Failures = move(old.Failures, failuresBucket(float64(w.fails)/float64(w.count)))
-	return next
+	return max(move(old, math.Log(ratio)/normalP90/sigmaStep), 1)
 }
 
 // latest appends up to n of the newest latencies to buffer.
 func (w *window) latest(buffer []float64, n int) []float64 {
 	for i := 1; i <= min(n, w.count); i++ {
-		buffer = append(buffer, float64(w.latencies[(w.next-i+longWindow)%longWindow]))
+		buffer = append(buffer, w.back(i).latency.Seconds())
 	}
 	return buffer
 }
--- a/internal/detect/detector.go
+++ b/internal/detect/detector.go
@@ -34,6 +34,7 @@
 	peers   map[string]*peerLog
 	models  map[float64]*latencyModel
 	resumed time.Time
+	ticked  time.Time
 	scratch []float64
 	probes  uint64
 }
@@ -103,7 +104,7 @@
 		model = newLatencyModel(b.Sigma)
 		d.models[b.Sigma] = model
 	}
-	s.setBaseline(b, model)
+	s.setBaseline(b, model, d.ticked)
 }
 
 // Resume tells that this process did not run until now. The age of a request
@@ -161,13 +162,13 @@
 		return
 	}
 	failed := e.Result == Failure || d.brokenPath(s, e)
+	unrated := failed || !d.params.Latency || r.started.Before(d.resumed) || s.cold(e.At)
+	if !unrated && s.baseline.Known {
+		s.addLatency(&r, e.Latency, censored, e.At)
+	}
 	if !censored || failed {
 		s.addOutcome(failed, e.At)
-		s.window.add(e.Latency.Seconds(), failed)
-	}
-	overslept := r.started.Before(d.resumed)
-	if !failed && !overslept && d.params.Latency && s.baseline.Known && !s.cold(e.At) {
-		s.addLatency(&r, e.Latency, censored, e.At)
+		s.window.add(sample{at: e.At.UnixNano(), latency: e.Latency, failed: failed, unrated: unrated})
 	}
 	if e.Result == Success {
 		s.successes++
@@ -199,6 +200,7 @@
 // Tick counts the ages of running requests and returns the changes of state.
 func (d *Detector) Tick(now time.Time) []Transition {
 	var out []Transition
+	d.ticked = now
 	for _, s := range d.order {
 		s.ageRunning(now, d.resumed, &d.params)
 		s.summarise(now, d.scratch)
--- a/internal/detect/model.go
+++ b/internal/detect/model.go
@@ -48,8 +48,12 @@
 // failure weighs 5.2, so that trust needs three and paramo four.
 const (
 	maxFailureGain = 5.3
-	maxLatencyGain = 2.5
-	maxLatencyLoss = -1.0
+	maxLatencyGain = 3.0
+	maxLatencyLoss = -2.5
+	// Bounds of what one request of a peer says for or against a slowdown of
+	// the whole service.
+	maxSupport = 3.5
+	minSupport = -2.5
 )
 
 // failureGain returns the log-likelihood ratio of one outcome. A hypothesis
@@ -71,10 +75,14 @@
 	gridLow   = -3.0
 	gridStep  = 0.1
 	gridSize  = 91
-	slowShift = 4.0
+	slowShift = 4 / tolerance
 	someShift = 10.0
-	// outliers is the share of healthy requests that are not lognormal.
-	outliers = 0.02
+	// Healthy requests are lognormal, but for a share of outliers of any
+	// latency and a share of slow ones around slowOutlierShift.
+	outliers         = 0.02
+	slowOutliers     = 0.01
+	slowOutlierShift = 6.0
+	slowOutlierSigma = 0.8
 	// someSpread is the spread assumed for the slow part under slowSome.
 	someSpread = 0.6
 )
@@ -84,6 +92,8 @@
 type latencyModel struct {
 	exact   [2][gridSize]float64
 	atLeast [2][gridSize]float64
+	// support is the evidence of a peer's latency against a slowdown.
+	support [gridSize]float64
 }
 
 func newLatencyModel(sigma float64) *latencyModel {
@@ -91,11 +101,15 @@
 	for i := range healthy {
 		x := gridLow + float64(i)*gridStep
 		broad := outliers / (gridSize * gridStep)
-		healthy[i] = (1-outliers)*normal(x, 0, sigma) + broad
+		healthy[i] = (1-outliers-slowOutliers)*normal(x, 0, sigma) + broad +
+			slowOutliers*normal(x, math.Log(slowOutlierShift), slowOutlierSigma)
 		slow[i] = (1-outliers)*normal(x, math.Log(slowShift), max(sigma, 0.4)) + broad
 		some[i] = 0.8*healthy[i] + 0.2*normal(x, math.Log(someShift), someSpread)
 	}
 	m := &latencyModel{}
+	for i := range healthy {
+		m.support[i] = min(max(math.Log(healthy[i]/slow[i]), minSupport), maxSupport)
+	}
 	for k, unhealthy := range [2][gridSize]float64{slow, some} {
 		tail0, tail1 := 0.0, 0.0
 		for i := gridSize - 1; i >= 0; i-- {
--- a/internal/detect/params.go
+++ b/internal/detect/params.go
@@ -31,12 +31,12 @@
 )
 
 // PresetCosts returns the costs of a preset; an unknown name gives those of
-// PresetParamo, the more cautious one. A ratio of 6e4 makes three failures in
-// a row enough; 5e8 is 25 times the requests of a million server-seconds at
+// PresetParamo, the more cautious one. A ratio of 2e5 makes three failures in
+// a row enough, but not two; 5e8 is 25 times the requests of a million server-seconds at
 // 20 requests/s, so that none of these should bring a false verdict.
 func PresetCosts(preset string) Costs {
 	if preset == PresetTrust {
-		return Costs{Late: 1, False: 6e4}
+		return Costs{Late: 1, False: 2e5}
 	}
 	return Costs{Late: 1, False: 5e8}
 }
@@ -56,10 +56,11 @@
 // Params are the settings of a Detector that do not differ between services.
 type Params struct {
 	// PauseAllowance is the longest time without any finished request that
-	// is not a fault, beyond the usual p95 latency. Default 200ms.
+	// is not a fault, beyond the usual p95 latency. Default 230ms: a pause of 200 ms, and
+	// the start of the first request after it.
 	PauseAllowance time.Duration
 	// StallScale is the time without progress, beyond the allowance, that
-	// counts as one nat of evidence. Default 10ms.
+	// counts as one nat of evidence. Default 7ms.
 	StallScale time.Duration
 	// Latency enables evidence from the latency of finished requests. Paths
 	// leave it off: the latency of a server says nothing about the path.
@@ -90,8 +91,8 @@
 // ServerParams are the parameters for backend servers.
 func ServerParams() Params {
 	return Params{
-		PauseAllowance:     200 * time.Millisecond,
-		StallScale:         10 * time.Millisecond,
+		PauseAllowance:     230 * time.Millisecond,
+		StallScale:         7 * time.Millisecond,
 		Latency:            true,
 		PeerDelay:          5 * time.Second,
 		Settle:             eject.SettleTime,
--- a/internal/detect/peers.go
+++ b/internal/detect/peers.go
@@ -5,10 +5,17 @@
 const (
 	// peerWindow bounds the peers' requests that are kept for a service.
 	peerWindow = 64
-	// confirmShare is the evidence for healthy peers, as a share of the
-	// threshold, that a verdict on latency needs: one request that is clearly
-	// as fast as usual for preset trust, two for preset paramo.
-	confirmShare = 1.0 / 12
+	// confirmLatency is the evidence for healthy peers, as a share of the
+	// threshold, that a verdict on latency needs: one or two usual answers for
+	// preset trust, two or three for paramo.
+	confirmLatency = 0.28
+	// riseFactor and riseQuiet postpone verdicts while the baseline itself
+	// rises: half of the way up, the peers look usual and the server slow.
+	riseFactor = 1.35
+	riseQuiet  = 2 * time.Second
+	// confirmStall is the same for a verdict on a stall, in nats. One usual
+	// answer is enough, because a service that stalls gives none.
+	confirmStall = 0.9
 )
 
 // peerSample is one request of another server of the service.
@@ -49,7 +56,7 @@
 		case s.Service == "":
 			sum++
 		default:
-			sum -= s.model.exact[0][gridIndex(sample.latency, s.baseline.Median)]
+			sum += s.model.support[gridIndex(sample.latency, s.reference)]
 		}
 	}
 	return sum
--- a/internal/detect/states.go
+++ b/internal/detect/states.go
@@ -88,10 +88,14 @@
 		return true
 	}
 	log, ok := d.peers[s.Service]
-	if !ok {
+	if !ok || now.Sub(s.roseAt) < riseQuiet {
 		return false
 	}
-	return log.support(s, risen) >= confirmShare*s.thresholds[failAll]
+	needed := confirmLatency * s.thresholds[failAll]
+	if reason == ReasonStall {
+		needed = confirmStall
+	}
+	return log.support(s, risen) >= needed
 }
 
 // enter performs a change of state.
--- a/internal/detect/target.go
+++ b/internal/detect/target.go
@@ -21,13 +21,15 @@
 }
 
 const (
-	// blockLength is the unit in which evidence from latency is bounded. All
-	// requests that one pause delayed end together; without the bound they
-	// would count as independent evidence.
-	blockLength = 200 * time.Millisecond
-	// maxBlockGain lets a pause of up to 200 ms, which falls into two blocks
-	// at most, add 8 nats, below the lowest threshold of a preset.
-	maxBlockGain = 4.0
+	// blockLength and maxBlockGain bound the evidence from latency in a time.
+	// All requests that one pause delayed end together; without the bound they
+	// would count as independent evidence. A pause of 200 ms falls into one
+	// block, which opens with the first delayed request.
+	blockLength  = 250 * time.Millisecond
+	maxBlockGain = 6.0
+	// replayed is the number of finished requests whose latency is rated again
+	// when the baseline changes.
+	replayed = 64
 	// coldFactor is how much slower than warm peers a cold server may be
 	// before it counts as stalled.
 	coldFactor = 4.0
@@ -44,6 +46,9 @@
 	maxStuckGain = 4.0
 	// summaryInterval is the time between two updates of the published summary.
 	summaryInterval = 500 * time.Millisecond
+	// spreadInterval is the time between two updates of the spread, which
+	// takes a sort of the whole window.
+	spreadInterval = 2 * time.Second
 )
 
 // cusum is the running test of one hypothesis.
@@ -52,8 +57,8 @@
 	// lowAt is the last time at which the value was below a third of the
 	// threshold; what made it cross began after that.
 	lowAt time.Time
-	// block and blockStart bound the gain from latency.
-	block      int64
+	// blockAt is the start of the current block, and blockStart the value then.
+	blockAt    time.Time
 	blockStart float64
 }
 
@@ -65,11 +70,10 @@
 }
 
 func (c *cusum) addBounded(gain, threshold float64, at time.Time) {
-	block := at.UnixNano() / int64(blockLength)
-	if block != c.block {
-		c.block, c.blockStart = block, c.value
-	}
 	if gain > 0 {
+		if at.Sub(c.blockAt) >= blockLength {
+			c.blockAt, c.blockStart = at, c.value
+		}
 		gain = min(gain, max(c.blockStart+maxBlockGain-c.value, 0))
 	}
 	c.add(gain, threshold, at)
@@ -87,8 +91,15 @@
 	Target
 	thresholds [hypotheses]float64
 	baseline   Baseline
-	model      *latencyModel
-	failGain   [2][hypotheses]float64
+	reference  time.Duration
+	// calm is the median that a rise is measured from, roseAt the time of the
+	// last rise.
+	calm   time.Duration
+	roseAt time.Time
+	// typical is how much slower than its peers the target is when healthy.
+	typical  float64
+	model    *latencyModel
+	failGain [2][hypotheses]float64
 
 	tests    [hypotheses]cusum
 	running  map[uint64]request
@@ -99,6 +110,7 @@
 	observed fleet.Observed
 	// summaryAt is the time of the next summary.
 	summaryAt time.Time
+	spreadAt  time.Time
 
 	health    fleet.Health
 	since     time.Time
@@ -111,7 +123,7 @@
 }
 
 func newTarget(t Target) *target {
-	s := &target{running: map[uint64]request{}, health: fleet.Healthy}
+	s := &target{running: map[uint64]request{}, health: fleet.Healthy, typical: 1}
 	s.describe(t)
 	return s
 }
@@ -123,17 +135,67 @@
 	}
 }
 
-func (s *target) setBaseline(b Baseline, model *latencyModel) {
-	if b == s.baseline {
-		return
-	}
+func (s *target) setBaseline(b Baseline, model *latencyModel, now time.Time) {
+	s.watchRise(b, now)
+	changed := b.Median != s.baseline.Median || b.Sigma != s.baseline.Sigma
 	s.baseline, s.model = b, model
+	if changed {
+		s.setReference()
+		s.replay()
+	}
 	for h := failAll; h < slowAll; h++ {
 		s.failGain[0][h] = failureGain(h, false, b.Failures)
 		s.failGain[1][h] = failureGain(h, true, b.Failures)
 	}
 }
 
+// setReference sets the latency that others are compared with.
+func (s *target) setReference() {
+	s.reference = time.Duration(float64(s.baseline.Median) * tolerance * max(s.typical, 1))
+}
+
+// learnTypical follows the lasting difference between a healthy target and its
+// peers. Servers of a service differ by tens of percent, and a fault changes
+// little within the time it takes to detect it.
+func (s *target) learnTypical() {
+	if !s.baseline.Known || s.observed.Median == 0 || s.health != fleet.Healthy || s.lowSince.IsZero() {
+		return
+	}
+	ratio := float64(medianValue(float64(s.observed.Median))) / float64(s.baseline.Median)
+	weight := summaryInterval.Seconds() / typicalTime.Seconds()
+	s.typical += weight * (min(max(ratio, 1), maxTypical) - s.typical)
+	s.setReference()
+}
+
+// watchRise notes when the baseline has risen by more than usual movement.
+func (s *target) watchRise(b Baseline, now time.Time) {
+	if s.baseline.Known && b.Known && float64(b.Median) >= riseFactor*float64(s.calm) {
+		s.roseAt, s.calm = now, b.Median
+	}
+	if !s.baseline.Known || b.Median < s.calm {
+		s.calm = b.Median
+	}
+}
+
+// replay rates the latest latencies by the new baseline. Evidence gathered by
+// the old one would otherwise outlive the comparison it rests on: when a whole
+// service slows down, every server would be convicted by its past at the time
+// at which its peers begin to look the same.
+func (s *target) replay() {
+	for h := slowAll; h < hypotheses; h++ {
+		s.tests[h] = cusum{lowAt: s.tests[h].lowAt}
+	}
+	for id, r := range s.running {
+		r.counted = [2]float64{}
+		s.running[id] = r
+	}
+	for i := min(replayed, s.window.count); i >= 1; i-- {
+		if old := s.window.back(i); !old.unrated {
+			s.addLatency(&request{}, old.latency, false, time.Unix(0, old.at))
+		}
+	}
+}
+
 func (s *target) cold(now time.Time) bool { return now.Before(s.WarmUntil) }
 
 // addOutcome adds the evidence of a finished request.
@@ -150,7 +212,7 @@
 // addLatency adds the evidence of a latency beyond what was counted for the
 // age of the same request. A censored latency is a lower bound.
 func (s *target) addLatency(r *request, latency time.Duration, censored bool, at time.Time) {
-	index := gridIndex(latency, s.baseline.Median)
+	index := gridIndex(latency, s.reference)
 	for k := range r.counted {
 		gain := s.model.exact[k][index]
 		if censored {
@@ -224,6 +286,7 @@
 func (s *target) restart() {
 	clear(s.running)
 	s.window = window{}
+	s.typical = 1
 	s.clearTests(s.progress)
 }
 
@@ -244,6 +307,11 @@
 		ages = append(ages, now.Sub(r.started).Seconds())
 	}
 	s.observed = s.window.summary(s.observed, ages, scratch)
+	s.learnTypical()
+	if !now.Before(s.spreadAt) || s.observed.Spread == 0 {
+		s.spreadAt = now.Add(spreadInterval)
+		s.observed.Spread = s.window.spread(s.observed.Spread, scratch)
+	}
 }
 
 func latest(a, b time.Time) time.Time {
