--- a/cmd/tarragon-load/experiments.go
+++ b/cmd/tarragon-load/experiments.go
@@ -11,6 +11,7 @@
 // experiments lists the experiments in the order of the help text.
 func experiments() []experiment.Definition {
 	return []experiment.Definition{
+		experiment.Detection,
 		experiment.Routing,
 		experiment.Overload,
 	}
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -55,16 +55,6 @@
 	}
 }
 
-// running reports whether the process has not ended.
-func (p *process) running() bool {
-	select {
-	case <-p.done:
-		return false
-	default:
-		return true
-	}
-}
-
 // wait waits for the end of the process and reports whether it came in time.
 func (p *process) wait(limit time.Duration) bool {
 	select {
