Give a second deletion of a row the version of the horizon

Change: a full update raises the version of rows that are deleted already. Ruled out: a fault of the paging between peers; the trace shows single pages.

--- a/internal/confsync/mirror.go
+++ b/internal/confsync/mirror.go
@@ -85,11 +85,14 @@
 }
 
 // deleteAbsent deletes the rows that a full update does not have. A row that
-// changed after the horizon would be named in the update.
+// changed after the horizon would be named in the update. A row that is
+// deleted already takes the version of the horizon as well: it may have been
+// written and deleted again since, and a peer that has the row in between
+// would keep it if the deletion bore the older version.
 func (m *mirror) deleteAbsent(present map[string]bool, horizon uint64) []fleet.Row {
 	var deleted []fleet.Row
 	for key, known := range m.rows {
-		if present[key] || known.Value == nil || known.Version >= horizon {
+		if present[key] || known.Version >= horizon {
 			continue
 		}
 		row := fleet.Row{Key: key, Version: horizon}
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -211,6 +211,24 @@
 	})
 }
 
+// Guards against a row that was deleted, written and deleted again staying in
+// force at a node that saw it in between and takes the whole configuration from
+// a peer that saw the first deletion only (TestVersionHolds,
+// -rapid.seed=10732779384388490092).
+func TestSecondDeletionReachesPeers(t *testing.T) {
+	peer, node := newMirror(), newMirror()
+	key := fleet.PrefixService + "a"
+	peer.apply(update{version: 3, rows: []fleet.Row{{Key: key, Version: 3}}, full: true, horizon: 2})
+	peer.apply(update{version: 6, full: true, horizon: 6})
+	node.apply(update{version: 4, rows: []fleet.Row{{Key: key, Version: 4, Value: []byte("{}")}}, full: true, horizon: 2})
+	rows, full, _ := peer.since(4, nil)
+	version, horizon := peer.state()
+	node.apply(update{version: version, rows: rows, full: full, horizon: horizon})
+	if row := node.rows[key]; row.Value != nil {
+		t.Fatalf("the deleted row %+v is in force", row)
+	}
+}
+
 // prune deletes the change rows up to a version.
 func prune(h *history, upTo uint64) {
 	for version := uint64(1); version <= upTo; version++ {
