Gather traffic for plans only, and within 3 s

Cause: a node now asks every other node for its traffic. Confirmations and approvals asked as well, at each attempt, and did not use the answer; at 500 nodes with silent ones among them a plan could outlast the command's 15 s. Change: the traffic is gathered once for each plan, within 3 s.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -16,6 +16,7 @@
 	"github.com/tarragonford/tarragonford/api"
 	"github.com/tarragonford/tarragonford/internal/admin"
 	"github.com/tarragonford/tarragonford/internal/fleet"
+	"github.com/tarragonford/tarragonford/internal/intent"
 	"github.com/tarragonford/tarragonford/internal/intentstore"
 	"github.com/tarragonford/tarragonford/internal/platform"
 	"github.com/tarragonford/tarragonford/internal/seed"
@@ -139,6 +140,33 @@
 	}
 }
 
+// slowTraffic counts its calls and answers when its time ends.
+type slowTraffic struct{ calls atomic.Int64 }
+
+func (s *slowTraffic) Observed(ctx context.Context) intent.Observed {
+	s.calls.Add(1)
+	deadline, bounded := ctx.Deadline()
+	if !bounded || time.Until(deadline) > 10*time.Second {
+		panic("the time for the traffic is not bounded")
+	}
+	return intent.Observed{Accounts: []intent.Use{{Name: "colombo-shop", Service: "measures"}}}
+}
+
+// TestTrafficIsGatheredForPlansOnly guards against confirmations that ask every
+// node of the fleet for traffic that they do not use.
+func TestTrafficIsGatheredForPlansOnly(t *testing.T) {
+	g, n, traffic := NewWithT(t), newNode(t, 3), &slowTraffic{}
+	n.handler = admin.NewHandler(admin.Dependencies{
+		Engine: intentstore.New(n.store, intentstore.Options{}), Views: fixed{n.view}, Traffic: traffic,
+	})
+	body := `{"id": "i", "spec": {"kind": "floor", "service": "measures", "floor_slots": 0}}`
+	g.Expect(n.do("POST", api.PathIntents, operatorToken, body).Code).To(Equal(http.StatusCreated))
+	answer := n.do("POST", api.PathIntents+"/i/plan", operatorToken, "")
+	g.Expect(answer.Body.String()).To(ContainSubstring("colombo-shop"))
+	g.Expect(n.do("POST", api.PathIntents+"/i/confirm", operatorToken, `{"plan": 2}`).Code).To(Equal(http.StatusOK))
+	g.Expect(traffic.calls.Load()).To(BeEquivalentTo(1))
+}
+
 // TestStatusShowsLaggingNodes guards against a node that lags and is not listed.
 func TestStatusShowsLaggingNodes(t *testing.T) {
 	g, n := NewWithT(t), newNode(t, 4)
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -21,6 +21,9 @@
 const (
 	// maxBodyBytes bounds the body of a request.
 	maxBodyBytes = 1 << 20
+	// trafficTimeout bounds the gathering of the traffic for a plan. Nodes that
+	// answer later are left out of the plan.
+	trafficTimeout = 3 * time.Second
 	// defaultPage and maxPage bound the intents or audit rows of one answer.
 	defaultPage = 100
 	maxPage     = 1000
@@ -116,14 +119,23 @@
 	return nil
 }
 
-// look returns the situation of this node for a plan or check.
-func (h *handler) look(ctx context.Context) func() intentstore.Situation {
+// look returns the situation of this node for a check.
+func (h *handler) look() intentstore.Situation {
+	return intentstore.Situation{View: h.Views.View()}
+}
+
+// lookWithTraffic returns a function that adds the traffic seen lately, for a
+// plan. The traffic is gathered once, however often the plan is made, because
+// it may take a call to every node; checks do without it.
+func (h *handler) lookWithTraffic(ctx context.Context) func() intentstore.Situation {
+	var observed intent.Observed
+	if h.Traffic != nil {
+		ctx, cancel := context.WithTimeout(ctx, trafficTimeout)
+		defer cancel()
+		observed = h.Traffic.Observed(ctx)
+	}
 	return func() intentstore.Situation {
-		situation := intentstore.Situation{View: h.Views.View()}
-		if h.Traffic != nil {
-			situation.Observed = h.Traffic.Observed(ctx)
-		}
-		return situation
+		return intentstore.Situation{View: h.Views.View(), Observed: observed}
 	}
 }
 
--- a/internal/admin/intents.go
+++ b/internal/admin/intents.go
@@ -35,7 +35,7 @@
 	if err := h.requireView(); err != nil {
 		return 0, nil, err
 	}
-	in, err := h.Engine.Plan(r.Context(), actor, mux.Vars(r)["id"], h.look(r.Context()))
+	in, err := h.Engine.Plan(r.Context(), actor, mux.Vars(r)["id"], h.lookWithTraffic(r.Context()))
 	return h.taken(http.StatusOK, actor, in, err)
 }
 
@@ -44,7 +44,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	in, err := h.Engine.Confirm(r.Context(), actor, mux.Vars(r)["id"], plan, h.look(r.Context()))
+	in, err := h.Engine.Confirm(r.Context(), actor, mux.Vars(r)["id"], plan, h.look)
 	return h.taken(http.StatusOK, actor, in, err)
 }
 
@@ -53,7 +53,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	in, err := h.Engine.Approve(r.Context(), actor, mux.Vars(r)["id"], plan, h.look(r.Context()))
+	in, err := h.Engine.Approve(r.Context(), actor, mux.Vars(r)["id"], plan, h.look)
 	return h.taken(http.StatusOK, actor, in, err)
 }
 
