--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strconv"
 	"strings"
 	"sync"
@@ -188,6 +189,18 @@
 	g.Expect(summary.Attempts).To(BeZero())
 }
 
+// Guards against a request that is given up because one entry issues no key.
+func TestKeysComeFromAnyEntry(t *testing.T) {
+	g := NewWithT(t)
+	down, good := newEntry(t, goodAnswer), newEntry(t, goodAnswer)
+	down.Close()
+	summary, attempts := runForTest(t, testMix(Target{Service: "s", Path: "/", Writes: 1, Keyed: 1, NodeKeys: 1}), down, good)
+	g.Expect(summary.Answered).To(Equal(summary.Requests))
+	for _, attempt := range attempts {
+		g.Expect(attempt.Key).To(Equal("issued-for-s"))
+	}
+}
+
 // Guards against load that waits for the fleet instead of arriving on time.
 func TestArrivalsBeyondTheLimitAreSkipped(t *testing.T) {
 	g := NewWithT(t)
@@ -247,6 +260,23 @@
 	}
 }
 
+// Guards against a key of the mix file that docs/load.md does not describe.
+func TestMixIsDescribed(t *testing.T) {
+	page, err := os.ReadFile("../../docs/load.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	check := func(structure reflect.Type, prefix string) {
+		for i := range structure.NumField() {
+			if key := prefix + structure.Field(i).Tag.Get("yaml"); key != "targets" && !strings.Contains(string(page), "| `"+key+"` |") {
+				t.Errorf("docs/load.md does not describe %s", key)
+			}
+		}
+	}
+	check(reflect.TypeFor[Mix](), "")
+	check(reflect.TypeFor[Target](), "targets[].")
+}
+
 func FuzzParseResult(f *testing.F) {
 	f.Add("1004", "not-run")
 	f.Add("", "")
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -52,12 +52,16 @@
 	recorder := httptest.NewRecorder()
 	tele.MetricsHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page := recorder.Body.String()
-	g.Expect(page).To(MatchRegexp(`tarragon_requests_total\{code="1004",.*outcome="not-run"\} 1\n`))
-	g.Expect(page).To(MatchRegexp(`tarragon_invariant_violations_total\{.*invariant="floor",.*\} 1\n`))
-	g.Expect(page).To(MatchRegexp(`tarragon_platform_calls_total\{operation="get",.*result="ok"\} 1\n`))
-	g.Expect(page).To(MatchRegexp(`tarragon_dispatches_total\{.*\} 3\n`))
-	g.Expect(page).To(MatchRegexp(`tarragon_config_version\{.*\} 42\n`))
-	g.Expect(page).To(MatchRegexp(`tarragon_request_duration_seconds_count\{.*\} 1\n`))
+	for _, line := range []string{
+		`tarragon_requests_total{code="1004",outcome="not-run"} 1`,
+		`tarragon_invariant_violations_total{invariant="floor"} 1`,
+		`tarragon_platform_calls_total{operation="get",result="ok"} 1`,
+		`tarragon_dispatches_total 3`,
+		`tarragon_config_version 42`,
+		`tarragon_request_duration_seconds_count 1`,
+	} {
+		g.Expect(page).To(ContainSubstring("\n" + line + "\n"))
+	}
 	g.Expect(tele.Shutdown(context.Background())).To(Succeed())
 }
 
@@ -254,3 +258,22 @@
 		}
 	})
 }
+
+// BenchmarkSampledHop compares the cost of a sampled hop while the collector
+// accepts spans and while it hangs.
+func BenchmarkSampledHop(b *testing.B) {
+	for name, exporter := range map[string]sdktrace.SpanExporter{"up": tracetest.NewNoopExporter(), "hangs": blockedExporter{}} {
+		b.Run(name, func(b *testing.B) {
+			metrics := &Metrics{}
+			tracer := tracerFor(exporter, 1, resource.Empty(), metrics)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, span := tracer.StartRequest(context.Background(), "entry")
+				span.End()
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = tracer.shutdown(ctx)
+		})
+	}
+}
