--- a/internal/confsync/platform.go
+++ b/internal/confsync/platform.go
@@ -137,7 +137,7 @@
 // name and the highest version whose change row is missing; 0 for none.
 func (p *pass) name(ctx context.Context, from, to uint64) (keys []string, missing uint64, err error) {
 	expected := from + 1
-	after := ChangeKey(from)
+	after := fleet.ChangeKey(from)
 	for expected <= to {
 		rows, err := p.syncer.scan(ctx, fleet.PrefixChange, after)
 		if err != nil {
@@ -177,17 +177,12 @@
 	if err := json.Unmarshal(row.Value, &change); err != nil {
 		return change, trace.Wrap(err, "row %s", row.Key)
 	}
-	if ChangeKey(change.Version) != row.Key {
+	if fleet.ChangeKey(change.Version) != row.Key {
 		return change, trace.BadParameter("row %s holds version %d", row.Key, change.Version)
 	}
 	return change, nil
 }
 
-// ChangeKey returns the key of the change row of a version.
-func ChangeKey(version uint64) string {
-	return fmt.Sprintf("%s%012d", fleet.PrefixChange, version)
-}
-
 // get reads one configuration row.
 func (p *pass) get(ctx context.Context, key string) error {
 	if !isConfigKey(key) {
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -78,7 +78,7 @@
 	row, _ := json.Marshal(change)
 	counter, _ := json.Marshal(version)
 	writes = append(writes, platform.Write{Key: fleet.KeyCounter, Value: counter},
-		platform.Write{Key: ChangeKey(version), Value: row})
+		platform.Write{Key: fleet.ChangeKey(version), Value: row})
 	if err := h.Transact(context.Background(), fleet.Table, nil, writes); err != nil {
 		panic(err)
 	}
@@ -232,7 +232,7 @@
 // prune deletes the change rows up to a version.
 func prune(h *history, upTo uint64) {
 	for version := uint64(1); version <= upTo; version++ {
-		writes := []platform.Write{{Key: ChangeKey(version)}}
+		writes := []platform.Write{{Key: fleet.ChangeKey(version)}}
 		_ = h.Transact(context.Background(), fleet.Table, nil, writes)
 	}
 }
