Add property tests of detection and ejection, and fix an order dependence

Cause: the detector kept running requests in a map. Evidence for their ages is bounded, so its sum depended on the order of iteration, and two runs of the same events gave different evidence. TestSameEventsGiveSameTransitions found it.

Change: running requests are a slice.

Ruled out: sorting the map's keys at each tick; a server has few running requests.

--- a/internal/detect/detector.go
+++ b/internal/detect/detector.go
@@ -116,7 +116,7 @@
 // lost: a request whose end was lost would seem to run for ever.
 func (d *Detector) ForgetRunning() {
 	for _, s := range d.order {
-		clear(s.running)
+		s.running = s.running[:0]
 	}
 }
 
@@ -144,13 +144,12 @@
 
 func (s *target) start(e Event) {
 	if len(s.running) < maxRunning {
-		s.running[e.Request] = request{started: e.At}
+		s.running = append(s.running, request{id: e.Request, started: e.At})
 	}
 }
 
 func (d *Detector) finish(s *target, e Event) {
-	r, known := s.running[e.Request]
-	delete(s.running, e.Request)
+	r, known := s.take(e.Request)
 	if !known {
 		r.started = e.At.Add(-e.Latency)
 	}
--- a/internal/detect/states.go
+++ b/internal/detect/states.go
@@ -112,7 +112,7 @@
 	case fleet.Probation:
 		s.successes = 0
 		s.clearTests(now)
-		clear(s.running)
+		s.running = s.running[:0]
 	}
 	return t
 }
--- a/internal/detect/target.go
+++ b/internal/detect/target.go
@@ -81,6 +81,7 @@
 
 // request is one running request.
 type request struct {
+	id      uint64
 	started time.Time
 	// counted is the evidence already added for its age, by hypothesis.
 	counted [2]float64
@@ -101,8 +102,10 @@
 	model    *latencyModel
 	failGain [2][hypotheses]float64
 
-	tests    [hypotheses]cusum
-	running  map[uint64]request
+	tests [hypotheses]cusum
+	// running is a slice, so that evidence is added in a fixed order; a server
+	// has few running requests.
+	running  []request
 	progress time.Time
 	stall    float64
 	stallLow time.Time
@@ -123,7 +126,7 @@
 }
 
 func newTarget(t Target) *target {
-	s := &target{running: map[uint64]request{}, health: fleet.Healthy, typical: 1}
+	s := &target{health: fleet.Healthy, typical: 1}
 	s.describe(t)
 	return s
 }
@@ -185,9 +188,8 @@
 	for h := slowAll; h < hypotheses; h++ {
 		s.tests[h] = cusum{lowAt: s.tests[h].lowAt}
 	}
-	for id, r := range s.running {
-		r.counted = [2]float64{}
-		s.running[id] = r
+	for i := range s.running {
+		s.running[i].counted = [2]float64{}
 	}
 	for i := min(replayed, s.window.count); i >= 1; i-- {
 		if old := s.window.back(i); !old.unrated {
@@ -224,6 +226,33 @@
 	}
 }
 
+// take removes a running request and returns it.
+func (s *target) take(id uint64) (request, bool) {
+	for i := range s.running {
+		if s.running[i].id == id {
+			r := s.running[i]
+			s.remove(i)
+			return r, true
+		}
+	}
+	return request{}, false
+}
+
+func (s *target) remove(i int) {
+	last := len(s.running) - 1
+	s.running[i] = s.running[last]
+	s.running = s.running[:last]
+}
+
+// forgetOld removes requests whose end must have been lost.
+func (s *target) forgetOld(now time.Time) {
+	for i := len(s.running) - 1; i >= 0; i-- {
+		if now.Sub(s.running[i].started) > maxAge {
+			s.remove(i)
+		}
+	}
+}
+
 // ageRunning counts the ages of running requests and returns how many are
 // older than usual and since when nothing has made progress.
 func (s *target) ageRunning(now, resumed time.Time, p *Params) {
@@ -234,11 +263,9 @@
 	latency := p.Latency && s.baseline.Known && !s.cold(now)
 	var oldest time.Time
 	stuck := 0
-	for id, r := range s.running {
-		if now.Sub(r.started) > maxAge {
-			delete(s.running, id)
-			continue
-		}
+	s.forgetOld(now)
+	for i := range s.running {
+		r := &s.running[i]
 		start := latest(r.started, resumed)
 		age := now.Sub(start)
 		if oldest.IsZero() || start.Before(oldest) {
@@ -248,8 +275,7 @@
 			stuck++
 		}
 		if latency && age > usual {
-			s.addLatency(&r, age, true, now)
-			s.running[id] = r
+			s.addLatency(r, age, true, now)
 		}
 	}
 	s.setStall(now, oldest, stuck, usual, p)
@@ -284,7 +310,7 @@
 // restart drops what was seen of an earlier incarnation. The state and the
 // strikes stay, because a server that restarts in a loop is flapping.
 func (s *target) restart() {
-	clear(s.running)
+	s.running = s.running[:0]
 	s.window = window{}
 	s.typical = 1
 	s.clearTests(s.progress)
--- a/internal/eject/eject_test.go
+++ b/internal/eject/eject_test.go
@@ -1,6 +1,8 @@
 package eject_test
 
 import (
+	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 
@@ -14,8 +16,7 @@
 // below its floor although the servers that are not gone reach it.
 func TestEjectionsKeepTheFloor(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		service := fleet.Service{Name: "s", FloorSlots: rapid.IntRange(0, 60).Draw(t, "floor")}
-		members := rapid.SliceOfN(memberGenerator(), 0, 20).Draw(t, "members")
+		service, members := drawService(t)
 		available := 0
 		for _, member := range members {
 			if !member.Gone {
@@ -26,18 +27,117 @@
 		if decision.RoutableSlots < min(service.FloorSlots, available) {
 			t.Fatalf("routable %d slots, floor %d, available %d", decision.RoutableSlots, service.FloorSlots, available)
 		}
+		if full := fullShareSlots(members, decision); full < min(service.FloorSlots, available) {
+			t.Fatalf("%d slots take work, floor %d, available %d", full, service.FloorSlots, available)
+		}
+	})
+}
+
+// fullShareSlots sums the slots of the members that take more than probation.
+func fullShareSlots(members []eject.Member, decision eject.Decision) int {
+	sum := 0
+	for i, member := range members {
+		if decision.Standings[i] == fleet.Routable || decision.Standings[i] == fleet.Reduced {
+			sum += int(float64(member.Slots) * member.Warmth)
+		}
+	}
+	return sum
+}
+
+// TestDecisionIsPure guards against nodes with the same records that decide
+// differently, because records reach them in another order or decisions leave
+// something behind.
+func TestDecisionIsPure(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		service, members := drawService(t)
+		first := standings(members, eject.Decide(service, members))
+		shuffled := append([]eject.Member(nil), members...)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 1))
+		rng.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		before := append([]eject.Member(nil), shuffled...)
+		for range 2 {
+			if again := standings(shuffled, eject.Decide(service, shuffled)); !reflect.DeepEqual(first, again) {
+				t.Fatalf("decisions differ: %v and %v", first, again)
+			}
+		}
+		if !reflect.DeepEqual(before, shuffled) {
+			t.Fatal("the decision changed its input")
+		}
+	})
+}
+
+func standings(members []eject.Member, decision eject.Decision) map[string]fleet.Standing {
+	out := map[string]fleet.Standing{}
+	for i, member := range members {
+		out[member.ID] = decision.Standings[i]
+	}
+	return out
+}
+
+// TestUnsettledEjectionHasNoEffect guards against an ejection that takes effect
+// before every node has heard of the older ones.
+func TestUnsettledEjectionHasNoEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		service, members := drawService(t)
+		decision := eject.Decide(service, members)
+		for i, member := range members {
+			if !member.Gone && !member.Settled && decision.Standings[i] == fleet.SetAside {
+				t.Fatalf("%s is set aside before its ejection settled", member.ID)
+			}
+		}
+	})
+}
+
+// TestUnionOfViewsKeepsTheLargestBudget guards against nodes that count
+// different capacity and together set aside more than any of them may.
+func TestUnionOfViewsKeepsTheLargestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		service, members := drawService(t)
+		for i := range members {
+			members[i].Gone = false
+		}
+		budget, union := 0, map[string]int{}
+		for range rapid.IntRange(1, 6).Draw(t, "views") {
+			view := service
+			view.FloorSlots += rapid.IntRange(0, 8).Draw(t, "lost in view")
+			decision := eject.Decide(view, members)
+			budget = max(budget, decision.AvailableSlots-view.FloorSlots)
+			for i, member := range members {
+				if decision.Standings[i] == fleet.SetAside {
+					union[member.ID] = int(float64(member.Slots) * member.Warmth)
+				}
+			}
+		}
+		sum := 0
+		for _, slots := range union {
+			sum += slots
+		}
+		if sum > max(budget, 0) {
+			t.Fatalf("views set aside %d slots together, the largest budget is %d", sum, budget)
+		}
 	})
 }
 
+func drawService(t *rapid.T) (fleet.Service, []eject.Member) {
+	service := fleet.Service{Name: "s", FloorSlots: rapid.IntRange(0, 60).Draw(t, "floor")}
+	count := rapid.IntRange(0, 20).Draw(t, "count")
+	members := rapid.SliceOfNDistinct(memberGenerator(), count, count, func(m eject.Member) string { return m.ID }).Draw(t, "members")
+	return service, members
+}
+
 func memberGenerator() *rapid.Generator[eject.Member] {
 	return rapid.Custom(func(t *rapid.T) eject.Member {
-		return eject.Member{
-			ID:      rapid.StringMatching(`[a-z]{4}`).Draw(t, "id"),
-			Slots:   rapid.IntRange(1, 8).Draw(t, "slots"),
-			Warmth:  rapid.SampledFrom([]float64{0.2, 0.5, 1}).Draw(t, "warmth"),
-			Health:  rapid.SampledFrom([]fleet.Health{fleet.Healthy, fleet.Suspect, fleet.Ejected, fleet.Probation}).Draw(t, "health"),
-			AskedAt: time.Unix(rapid.Int64Range(0, 10).Draw(t, "asked"), 0),
-			Gone:    rapid.Bool().Draw(t, "gone"),
+		member := eject.Member{
+			ID:     rapid.StringMatching(`[a-z]{4}`).Draw(t, "id"),
+			Slots:  rapid.IntRange(1, 8).Draw(t, "slots"),
+			Warmth: rapid.SampledFrom([]float64{0.2, 0.5, 1}).Draw(t, "warmth"),
+			Health: rapid.SampledFrom([]fleet.Health{fleet.Healthy, fleet.Suspect, fleet.Ejected, fleet.Ejected, fleet.Probation}).Draw(t, "health"),
+			Gone:   rapid.IntRange(0, 4).Draw(t, "gone") == 0,
+		}
+		if member.Health == fleet.Ejected || rapid.Bool().Draw(t, "holds a place") {
+			member.AskedAt = time.Unix(rapid.Int64Range(1, 100).Draw(t, "asked"), 0)
+			member.Settled = rapid.IntRange(0, 3).Draw(t, "settled") > 0
 		}
+		return member
 	})
 }
--- a/internal/experiment/detection_test.go
+++ b/internal/experiment/detection_test.go
@@ -38,3 +38,26 @@
 	}
 	return string(data)
 }
+
+// TestSlowServiceStaysInService guards against verdicts in a slowdown of the
+// whole service that are not withdrawn before they take effect. It counts them
+// in runs with entries that see their peers.
+func TestSlowServiceStaysInService(t *testing.T) {
+	rows := detectionRows(detectionScale{trials: 30, cases: []string{"service-slow"}})
+	for i := range rows {
+		if rows[i].policy.name != "tarragon" {
+			continue
+		}
+		verdicts, setAside := 0, 0
+		for trial := range rows[i].outcomes {
+			outcome := rows[i].runTrial(1, trial)
+			verdicts += outcome.false
+			setAside += outcome.setAside
+		}
+		t.Logf("%s: %d verdicts, %d servers set aside", rows[i].deployment.preset, verdicts, setAside)
+		if setAside > 0 {
+			t.Errorf("%s: %d servers were set aside in %d slowdowns of the whole service",
+				rows[i].deployment.preset, setAside, len(rows[i].outcomes))
+		}
+	}
+}
--- a/internal/experiment/detection_world.go
+++ b/internal/experiment/detection_world.go
@@ -113,7 +113,10 @@
 	// there was none.
 	detected time.Duration
 	lost     int
+	// false counts verdicts on well servers, and setAside those of them that
+	// took effect after settling.
 	false    int
+	setAside int
 	seconds  float64
 }
 
@@ -373,8 +376,7 @@
 }
 
 func (w *world) countVerdict(server int) {
-	faulty := !w.well() && server == 0 && w.now >= w.faultOn
-	if !faulty {
+	if !w.isFaulty(server) {
 		w.outcome.false++
 		return
 	}
@@ -383,6 +385,10 @@
 	}
 }
 
+func (w *world) isFaulty(server int) bool {
+	return !w.well() && server == 0 && w.now >= w.faultOn
+}
+
 // gossip publishes what hosts say now and lets entries act on what they have
 // heard by now.
 func (w *world) gossip() {
@@ -413,6 +419,9 @@
 	}
 	decision := eject.Decide(fleet.Service{Name: "s", FloorSlots: w.floor}, members)
 	for i := range w.servers {
+		if decision.Standings[i] == fleet.SetAside && w.servers[i].weight > 0 && !w.isFaulty(i) {
+			w.outcome.setAside++
+		}
 		w.servers[i].weight = standingShare[decision.Standings[i]] * members[i].Warmth
 	}
 }
