--- a/internal/blackboard/entries.go
+++ b/internal/blackboard/entries.go
@@ -45,6 +45,7 @@
 		changed:    true,
 	}
 	e.nodes[self.ID] = e.self
+	e.markDirty(e.self)
 	return e
 }
 
--- /dev/null
+++ b/internal/controller/detection_test.go
@@ -0,0 +1,194 @@
+package controller_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/tarragonford/tarragonford/internal/blackboard"
+	"github.com/tarragonford/tarragonford/internal/controller"
+	"github.com/tarragonford/tarragonford/internal/detect"
+	"github.com/tarragonford/tarragonford/internal/eject"
+	"github.com/tarragonford/tarragonford/internal/fleet"
+)
+
+// node runs controllers step by step on a real board in virtual time.
+type node struct {
+	t         *testing.T
+	board     *blackboard.Board
+	detection *controller.Detection
+	ejection  *controller.Ejection
+	now       time.Time
+	next      uint64
+	seen      []detect.Transition
+	changes   []controller.StandingChange
+}
+
+// newNode returns a node with one server "a" and a peer node "other". Virtual
+// time starts in the past, so that for the snapshot every request settled.
+func newNode(t *testing.T) *node {
+	t.Helper()
+	n := &node{t: t, now: time.Now().Add(-time.Hour)}
+	n.board = blackboard.New(fleet.NodeRecord{ID: "self", Servers: []fleet.ServerRecord{
+		{ID: "a", Service: "s", Slots: 6, Health: fleet.Healthy},
+	}})
+	n.detection = controller.NewDetection(controller.DetectionOptions{
+		OnTransition: func(_ controller.Subject, tr detect.Transition) { n.seen = append(n.seen, tr) },
+	})
+	n.ejection = controller.NewEjection(func(c controller.StandingChange) { n.changes = append(n.changes, c) })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.board.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	n.call(func(e *blackboard.Entries) {
+		e.PutNode(&fleet.NodeRecord{ID: "other", Version: fleet.Version{Sequence: 1}, Servers: []fleet.ServerRecord{
+			{ID: "b", Service: "s", Slots: 6, Health: fleet.Healthy, Observed: fleet.Observed{Median: 37, Spread: 5}},
+		}})
+	})
+	return n
+}
+
+func (n *node) call(f func(*blackboard.Entries)) {
+	n.t.Helper()
+	if err := n.board.Call(context.Background(), f); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
+// step runs both controllers; the gap between ticks is the virtual one.
+func (n *node) step() {
+	n.t.Helper()
+	n.now = n.now.Add(blackboard.TickInterval)
+	n.call(func(e *blackboard.Entries) {
+		e.TickGap = blackboard.TickInterval
+		n.detection.Step(n.now, e)
+		n.ejection.Step(n.now, e)
+	})
+}
+
+// work sends requests to a target, two in each tick.
+func (n *node) work(target string, ticks int, result detect.Result) {
+	n.t.Helper()
+	for range ticks {
+		for range 2 {
+			n.next++
+			n.detection.Emit(detect.Event{Target: target, Service: "s", Request: n.next, At: n.now})
+			n.detection.Emit(detect.Event{Target: target, Service: "s", Request: n.next, At: n.now.Add(50 * time.Millisecond),
+				Finished: true, Result: result, Latency: 50 * time.Millisecond})
+		}
+		n.step()
+	}
+}
+
+// server returns the record of the attached server. It asks the control
+// goroutine, because the view is published after Call returns.
+func (n *node) server() fleet.ServerRecord {
+	n.t.Helper()
+	var out fleet.ServerRecord
+	n.call(func(e *blackboard.Entries) {
+		if server, ok := e.Self().Server("a"); ok {
+			out = *server
+		}
+	})
+	return out
+}
+
+// waitForPath waits until the view shows the path to the other node as given.
+func (n *node) waitForPath(down bool) {
+	n.t.Helper()
+	for range 1000 {
+		if candidate, ok := n.board.View().Find("s", "b"); ok && candidate.PathDown == down {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	n.t.Fatalf("the view does not show PathDown = %v", down)
+}
+
+// TestEjectionIsAskedForAndGivenBack guards against a verdict that does not
+// reach the record, and against a place that is kept for ever or given back
+// before every node has heard of the return.
+func TestEjectionIsAskedForAndGivenBack(t *testing.T) {
+	n := newNode(t)
+	n.work("a", 50, detect.Success)
+	if n.server().Observed.Median == 0 {
+		t.Error("no summary was published")
+	}
+	n.work("a", 10, detect.Failure)
+	asked := n.server()
+	if asked.Health != fleet.Ejected || asked.EjectionAskedAt.IsZero() || asked.HealthSince.IsZero() {
+		t.Fatalf("record after failures: %+v", asked)
+	}
+	for n.server().Health == fleet.Ejected {
+		n.step()
+	}
+	n.work("a", 15, detect.Success)
+	returned := n.server()
+	if returned.Health != fleet.Healthy || !returned.EjectionAskedAt.Equal(asked.EjectionAskedAt) {
+		t.Fatalf("record after successes: %+v", returned)
+	}
+	for n.now.Before(returned.HealthSince.Add(eject.SettleTime)) {
+		n.step()
+	}
+	if server := n.server(); !server.EjectionAskedAt.IsZero() {
+		t.Fatalf("the place is kept %v after the return", n.now.Sub(returned.HealthSince))
+	}
+	if len(n.seen) == 0 || len(n.changes) == 0 {
+		t.Fatalf("changes were not reported: %v, %v", n.seen, n.changes)
+	}
+}
+
+// TestReplacedRecordIsPutRight guards against an announcement that resets the
+// health of an ejected server.
+func TestReplacedRecordIsPutRight(t *testing.T) {
+	n := newNode(t)
+	n.work("a", 50, detect.Success)
+	n.work("a", 10, detect.Failure)
+	n.call(func(e *blackboard.Entries) {
+		e.UpdateSelf(func(r *fleet.NodeRecord) bool {
+			r.Servers[0] = fleet.ServerRecord{ID: "a", Service: "s", Slots: 6, Health: fleet.Healthy}
+			return true
+		})
+	})
+	n.step()
+	if server := n.server(); server.Health != fleet.Ejected || server.EjectionAskedAt.IsZero() {
+		t.Fatalf("record after an announcement: %+v", server)
+	}
+}
+
+// TestBrokenPathIsMarked guards against verdicts on paths that do not reach
+// the candidates, and against a path that stays down after its hold time.
+func TestBrokenPathIsMarked(t *testing.T) {
+	n := newNode(t)
+	n.work("other", 20, detect.Success)
+	n.work("other", 10, detect.Failure)
+	n.waitForPath(true)
+	for range int(detect.PathParams().Hold/blackboard.TickInterval) + 1 {
+		n.step()
+	}
+	n.waitForPath(false)
+}
+
+// TestLostEventsConvictNobody guards against requests that seem to run for
+// ever because the event of their end did not fit into the queue.
+func TestLostEventsConvictNobody(t *testing.T) {
+	n := newNode(t)
+	n.work("a", 50, detect.Success)
+	for n.detection.Dropped() == 0 {
+		n.next++
+		n.detection.Emit(detect.Event{Target: "a", Service: "s", Request: n.next, At: n.now})
+	}
+	for range 100 {
+		n.step()
+		n.detection.Emit(detect.Event{Target: "other", Service: "s", Request: 1, At: n.now, Finished: true, Latency: 50 * time.Millisecond})
+	}
+	if server := n.server(); server.Health != fleet.Healthy {
+		t.Fatalf("state %s after lost events", server.Health)
+	}
+}
--- a/internal/detect/peers.go
+++ b/internal/detect/peers.go
@@ -11,7 +11,7 @@
 	confirmLatency = 0.28
 	// riseFactor and riseQuiet postpone verdicts while the baseline itself
 	// rises: half of the way up, the peers look usual and the server slow.
-	riseFactor = 1.35
+	riseFactor = 1.5
 	riseQuiet  = 2 * time.Second
 	// confirmStall is the same for a verdict on a stall, in nats. One usual
 	// answer is enough, because a service that stalls gives none.
