Keep membership stable on a starved machine and measure its cost

Cause: 250 nodes that started together on a busy machine (load 25 on 10 cores) did not recover.

A connection is replaced only after 3 s of silence. Package controlcost and the command control-cost measure bytes, processor time and the spread of changes.

Ruled out: longer probe timeouts for all, which delay the notice of a frozen node.

--- a/cmd/tarragon-load/main.go
+++ b/cmd/tarragon-load/main.go
@@ -35,6 +35,7 @@
 
 func addCommands(parser *flags.Parser) {
 	mustAdd(parser, "experiment", "Run a seeded experiment in virtual time", &experimentCommand{})
+	mustAdd(parser, "control-cost", "Measure the cost of control work and the spread of changes", &controlCostCommand{})
 }
 
 func mustAdd(parser *flags.Parser, name, summary string, command any) {
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// exchangeTimeout bounds one call of an exchange.
-	exchangeTimeout = time.Second
+	// exchangeTimeout bounds one call of an exchange. It is long enough for a
+	// page of records to a slow peer; a page that is cut off is sent again.
+	exchangeTimeout = 5 * time.Second
 	// settled is the time without changes on both sides after which a
 	// difference of the hashes is not taken for news on the way.
 	settled = 300 * time.Millisecond
@@ -122,15 +123,23 @@
 func (s *Service) exchange(ctx context.Context, addr, id string, params exchangeParams, result *exchangeResult) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	started := time.Now()
 	params.From = s.id
-	params.summary = s.store.summary(time.Now())
+	params.summary = s.store.summary(started)
 	peer, err := s.callAddr(ctx, addr, id, methodExchange, params, result)
 	if err == nil {
+		s.lastExchange.Store(started.UnixNano())
 		s.noteConfig(peer, result.Config)
 	}
 	return peer, err
 }
 
+// ExchangedSince reports whether an exchange that this node began after t
+// succeeded.
+func (s *Service) ExchangedSince(t time.Time) bool {
+	return s.lastExchange.Load() > t.UnixNano()
+}
+
 func (s *Service) noteConfig(peer string, version uint64) {
 	if s.onConfig != nil {
 		s.onConfig(peer, version)
--- a/internal/gossip/pool.go
+++ b/internal/gossip/pool.go
@@ -17,9 +17,11 @@
 	// idleOutbound closes an outgoing connection that carried no call for this
 	// long. It is below idleTimeout, so that the caller closes first.
 	idleOutbound = 90 * time.Second
-	// halfOpenAfter is the silence after an unanswered call for which the
-	// connection is replaced. A call that its caller cancels sooner proves nothing.
-	halfOpenAfter = 250 * time.Millisecond
+	// halfOpenAfter is the silence of a connection after which an unanswered call
+	// replaces it. With a shorter time, nodes that are merely slow make each
+	// other reconnect, which makes them slower: 250 nodes on a busy machine did
+	// not recover from this.
+	halfOpenAfter = 3 * time.Second
 )
 
 // Errors of calls. An error answered by the peer's handler is a *jsonrpc2.Error.
@@ -84,10 +86,9 @@
 		s.pool.drop(addr, out)
 		return out.peerID, fmt.Errorf("%w: want %s, got %s", ErrWrongNode, nodeID, out.peerID)
 	}
-	sent := time.Now()
 	err = out.rpc.Call(ctx, method, params, result)
-	if err != nil && !isAnswer(err) && time.Since(sent) >= halfOpenAfter && !out.stream.heardSince(sent) {
-		// Nothing came back since the call: the connection may be half open.
+	if err != nil && !isAnswer(err) && out.stream.silentFor() >= halfOpenAfter {
+		// The connection may be half open.
 		s.pool.drop(addr, out)
 	}
 	if err == nil {
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -19,6 +20,20 @@
 	probeTimeout = 500 * time.Millisecond
 	// viaTimeout bounds an indirect probe, which makes two hops.
 	viaTimeout = time.Second
+	// maxSlowness bounds the factor by which a node that finds itself slow
+	// extends both timeouts.
+	maxSlowness = 8
+	// maxLag is how late the timeout of a probe may fire. A later one shows that
+	// this process does not get to run.
+	maxLag = 100 * time.Millisecond
+	// viaEvery is the number of direct probes between two indirect ones of a
+	// node that is already listed as unreachable.
+	viaEvery = 5
+	// maxVia bounds the indirect probes that a node does for others at a time.
+	maxVia = 8
+	// codeNoAnswer answers an indirect probe that the target did not answer. Any
+	// other failure of the helper is no evidence against the target.
+	codeNoAnswer = -32010
 	// helpers is the number of nodes asked to probe in one's place.
 	helpers = 3
 	// failuresNeeded is the number of consecutive failed direct probes before
@@ -41,6 +56,9 @@
 	mu    sync.Mutex
 	byID  map[string]*path
 	heard map[string]time.Time
+	// slowness rises with each probe that timed out late, or failed while the
+	// helpers did not answer either, and falls with each success.
+	slowness int
 }
 
 func newPaths() *paths {
@@ -74,6 +92,9 @@
 	return ids
 }
 
+// errBusy refuses an indirect probe.
+var errBusy = errors.New("too many indirect probes at a time")
+
 type probeParams struct {
 	From string `json:"from"`
 }
@@ -92,7 +113,7 @@
 	return probeResult{ID: s.id}, nil
 }
 
-// answerProbeVia probes a node for a peer. The error is the probe's.
+// answerProbeVia probes a node for a peer.
 func (s *Service) answerProbeVia(ctx context.Context, raw json.RawMessage) (any, error) {
 	var params probeViaParams
 	if err := json.Unmarshal(raw, &params); err != nil {
@@ -103,11 +124,19 @@
 		// this node to reach others.
 		return nil, ErrUnknownNode
 	}
-	return probeResult{ID: params.ID}, s.probeOnce(ctx, params.ID, params.Addr)
+	defer s.viaRunning.Add(-1)
+	if s.viaRunning.Add(1) > maxVia {
+		return nil, errBusy
+	}
+	if err := s.probeOnce(ctx, params.ID, params.Addr); err != nil {
+		return nil, &jsonrpc2.Error{Code: codeNoAnswer, Message: err.Error()}
+	}
+	return probeResult{ID: params.ID}, nil
 }
 
+// probeOnce probes a node directly.
 func (s *Service) probeOnce(ctx context.Context, id, addr string) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.paths.patience()*probeTimeout)
 	defer cancel()
 	var result probeResult
 	_, err := s.callAddr(ctx, addr, id, methodProbe, probeParams{From: s.id}, &result)
@@ -149,11 +178,15 @@
 	}
 	defer s.paths.end(id)
 	for {
-		started := time.Now()
+		started, limit := time.Now(), s.paths.patience()*probeTimeout+maxLag
 		err := s.probeOnce(ctx, id, addr)
-		if ctx.Err() != nil || time.Since(started) > 2*probeTimeout {
-			// The process was paused during the probe, which says nothing
-			// about the peer.
+		if ctx.Err() != nil {
+			return
+		}
+		if time.Since(started) > limit {
+			// This process was paused or is starved, which says nothing about
+			// the peer.
+			s.paths.conclude(id, noEvidence)
 			return
 		}
 		if err == nil {
@@ -164,40 +197,66 @@
 			break
 		}
 	}
-	s.paths.setUnreachable(id, !s.reachableVia(ctx, id, addr))
+	if s.paths.viaDue(id) {
+		s.paths.conclude(id, s.askHelpers(ctx, id, addr))
+	}
 }
 
-// reachableVia asks other nodes to probe a peer.
-func (s *Service) reachableVia(ctx context.Context, id, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, viaTimeout)
+// verdict is the result of indirect probes.
+type verdict int
+
+const (
+	// noEvidence says that no helper answered, so the fault may be here.
+	noEvidence verdict = iota
+	reachedVia
+	notReached
+)
+
+// askHelpers asks other nodes to probe a peer. Without other nodes, the direct
+// probes decide.
+func (s *Service) askHelpers(ctx context.Context, id, addr string) verdict {
+	ctx, cancel := context.WithTimeout(ctx, s.paths.patience()*viaTimeout)
 	defer cancel()
 	asked := s.pickHelpers(id)
+	if len(asked) == 0 {
+		return notReached
+	}
 	answers := make(chan error, len(asked))
 	for _, helper := range asked {
 		go func() {
 			answers <- s.Call(ctx, helper, methodProbeVia, probeViaParams{From: s.id, ID: id, Addr: addr}, nil)
 		}()
 	}
+	result := noEvidence
 	for range asked {
-		if err := <-answers; err == nil {
-			return true
+		err := <-answers
+		if err == nil {
+			return reachedVia
+		}
+		var coded *jsonrpc2.Error
+		if errors.As(err, &coded) && coded.Code == codeNoAnswer {
+			result = notReached
 		}
 	}
-	return false
+	return result
 }
 
-// pickHelpers returns random reachable nodes other than the peer.
+// pickHelpers returns partners, to which connections are open, and if they are
+// too few other reachable nodes.
 func (s *Service) pickHelpers(id string) []string {
+	chosen := slices.DeleteFunc(s.partners(), func(partner string) bool { return partner == id })
+	rand.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+	if len(chosen) >= helpers {
+		return chosen[:helpers]
+	}
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
-	var candidates []string
 	for _, p := range s.store.ring.places {
-		if p.id != s.id && p.id != id && !s.isAvoided(p.id) {
-			candidates = append(candidates, p.id)
+		if len(chosen) < helpers && p.id != s.id && p.id != id && !s.isAvoided(p.id) && !slices.Contains(chosen, p.id) {
+			chosen = append(chosen, p.id)
 		}
 	}
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	return candidates[:min(helpers, len(candidates))]
+	return chosen
 }
 
 func (p *paths) get(id string) *path {
@@ -232,6 +291,7 @@
 	defer p.mu.Unlock()
 	known := p.get(id)
 	known.failures, known.broken, known.unreachable = 0, false, false
+	p.slowness = max(p.slowness-1, 0)
 }
 
 func (p *paths) failed(id string) int {
@@ -243,8 +303,28 @@
 	return known.failures
 }
 
-func (p *paths) setUnreachable(id string, unreachable bool) {
+// viaDue reports whether helpers are to be asked about a peer now.
+func (p *paths) viaDue(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.get(id)
+	return !known.unreachable || known.failures%viaEvery == 0
+}
+
+// conclude takes over the result of indirect probes.
+func (p *paths) conclude(id string, result verdict) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if result == noEvidence {
+		p.slowness = min(p.slowness+1, maxSlowness-1)
+		return
+	}
+	p.get(id).unreachable = result == notReached
+}
+
+// patience is the factor on the timeouts of probes.
+func (p *paths) patience() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.get(id).unreachable = unreachable
+	return time.Duration(p.slowness + 1)
 }
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -67,6 +67,10 @@
 
 	handlers     map[string]HandlerFunc
 	inboundCount atomic.Int64
+	viaRunning   atomic.Int64
+	// lastExchange is the start of the last successful exchange in Unix
+	// nanoseconds.
+	lastExchange atomic.Int64
 	pool         *pool
 	store        *store
 	paths        *paths
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -15,7 +15,7 @@
 	// maxLog bounds the list of recent changes.
 	maxLog = 4_096
 	// wantPause keeps a body from being asked of several peers at once.
-	wantPause = time.Second
+	wantPause = 2 * time.Second
 )
 
 // item is the newest known copy of one record.
--- a/internal/gossip/stream.go
+++ b/internal/gossip/stream.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxMessageBytes bounds one message. The largest regular message is a page
-	// of full records, about 250 KB.
+	// maxMessageBytes bounds one message. The largest regular message is the
+	// digest of 6,000 nodes, about 420 KB.
 	maxMessageBytes = 1 << 20
 	// maxUnprovenBytes bounds a message from a peer that has not yet proved
 	// that it knows the secret.
@@ -122,9 +122,9 @@
 	return maxMessageBytes
 }
 
-// heardSince reports whether a whole message arrived after t.
-func (s *stream) heardSince(t time.Time) bool {
-	return time.Duration(s.lastRead.Load()) > t.Sub(s.opened)
+// silentFor returns the time since the last whole message arrived.
+func (s *stream) silentFor() time.Duration {
+	return time.Since(s.opened) - time.Duration(s.lastRead.Load())
 }
 
 // Close implements jsonrpc2.ObjectStream.
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -18,7 +18,7 @@
 const (
 	// maxRecordsPerMessage is the page size of full records. A record of 11
 	// servers takes about 2.5 KB.
-	maxRecordsPerMessage = 100
+	maxRecordsPerMessage = 40
 	// maxHeadsPerMessage bounds a digest: 6,000 heads of 70 bytes are 420 KB.
 	maxHeadsPerMessage = 6_000
 	// maxNodes bounds the known records, at about the 5,300 nodes for which
@@ -70,7 +70,7 @@
 	From string `json:"from"`
 	summary
 	// Heads are changes that the caller believes to be new to the peer.
-	Heads []head `json:"heads,omitempty"`
+	Heads packed[head] `json:"heads,omitempty"`
 	// Buckets are the hashes of the caller's buckets; the answer then holds the
 	// heads of every bucket that differs.
 	Buckets []uint64 `json:"buckets,omitempty"`
@@ -91,18 +91,18 @@
 type exchangeResult struct {
 	summary
 	// Heads answer Buckets.
-	Heads []head `json:"heads,omitempty"`
+	Heads packed[head] `json:"heads,omitempty"`
 	// Differ lists the buckets that Heads cover.
 	Differ []int `json:"differ,omitempty"`
 	// Records answer Want.
-	Records []full `json:"records,omitempty"`
+	Records packed[full] `json:"records,omitempty"`
 	// Want names the records whose body the peer lacks.
 	Want []string `json:"want,omitempty"`
 }
 
 type pushParams struct {
-	From    string `json:"from"`
-	Records []full `json:"records"`
+	From    string       `json:"from"`
+	Records packed[full] `json:"records"`
 }
 
 // validate refuses records that no node of the fleet writes.
