--- a/cmd/tarragon-load/main.go
+++ b/cmd/tarragon-load/main.go
@@ -38,6 +38,7 @@
 	mustAdd(parser, "relay", "Pass TCP connections on and cut or delay them", &relayCommand{})
 	mustAdd(parser, "compare", "Compare the attempts of callers with the records of servers", &compareCommand{})
 	mustAdd(parser, "experiment", "Run a seeded experiment in virtual time", &experimentCommand{})
+	mustAdd(parser, "control-cost", "Measure the cost of control work and the spread of changes", &controlCostCommand{})
 }
 
 func mustAdd(parser *flags.Parser, name, summary string, command any) {
