--- a/internal/controlcost/cluster.go
+++ b/internal/controlcost/cluster.go
@@ -169,7 +169,7 @@
 	counter, _ := json.Marshal(c.changes)
 	return trace.Wrap(c.store.Transact(ctx, fleet.Table, nil, []platform.Write{
 		{Key: key, Value: service},
-		{Key: confsync.ChangeKey(c.changes), Value: change},
+		{Key: fleet.ChangeKey(c.changes), Value: change},
 		{Key: fleet.KeyCounter, Value: counter},
 	}))
 }
