--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,7 @@
 # A bounded run under randomised faults; the schedule follows from SEED.
 soak: bin/harness
 	bin/harness soak --deployment $(DEPLOYMENT) --seed $(SEED) --duration $(DURATION)
+
+# Time from approval to in force everywhere, and the cost of control of a node.
+convergence: bin/harness
+	bin/harness convergence --nodes $(NODES)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -79,6 +79,16 @@
 // their answer.
 func (h *Host) Running() int { return int(h.running.Load()) }
 
+// Load returns the running and the queued requests of all attached servers.
+func (h *Host) Load() (running, queued int) {
+	for _, server := range *h.servers.Load() {
+		load := server.load()
+		running += load.Running
+		queued += load.Queued
+	}
+	return running, queued
+}
+
 // RunningByServer returns the running and queued requests of each attached server.
 func (h *Host) RunningByServer() map[string]int {
 	running := map[string]int{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	entry     *entry.Entry
 	recent    *entry.Recent
 	engine    *intentstore.Engine
+	detection *controller.Detection
 	gossip    *gossip.Service
 	store     *platform.Client
 	syncer    *confsync.Syncer
@@ -138,7 +139,7 @@
 	n.recent = entry.NewRecent()
 	n.engine = intentstore.New(n.store, intentstore.Options{})
 	n.gossip.Handle(methodTraffic, n.answerTraffic)
-	detection := controller.NewDetection(controller.DetectionOptions{
+	n.detection = controller.NewDetection(controller.DetectionOptions{
 		Rand:         newRand(),
 		OnTransition: n.reportTransition,
 	})
@@ -146,7 +147,7 @@
 		Viewer:          n.board,
 		Ledger:          n.ledger,
 		Signer:          signer,
-		Events:          detection,
+		Events:          n.detection,
 		Telemetry:       n.telemetry,
 		BufferedAnswer:  n.config.Limits.BufferedAnswer,
 		FreezeThreshold: n.config.Timing.FreezeThreshold,
@@ -160,7 +161,7 @@
 		Signer:          signer,
 		Claims:          entry.NewClaims(n.store),
 		Recent:          n.recent,
-		Paths:           detection,
+		Paths:           n.detection,
 		MaxBody:         n.config.Limits.RequestBody,
 		MaxDeadline:     n.config.Limits.MaxDeadline,
 		KeyLifetime:     n.config.Timing.KeyLifetime,
@@ -173,10 +174,10 @@
 		attachments,
 		controller.NewMembership(n.gossip),
 		controller.NewConfiguration(n.syncer, n.config.Timing.FreezeThreshold),
-		detection,
+		n.detection,
 		controller.NewEjection(n.reportStanding),
 		controller.NewIntents(n.lifetime, n.engine, n.board.View, controller.IntentsOptions{OnStep: n.reportStep}),
-		&invariants{node: n, seen: map[string]int{}},
+		&counters{node: n, violations: map[string]int{}},
 	)
 	n.buildServers(attachments)
 }
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -82,6 +82,8 @@
 	// platformLink is a relay in front of the platform, for every second node.
 	platformLink *link
 	links        []*link
+	// lastVersion is the newest version of the configuration that was waited for.
+	lastVersion uint64
 }
 
 // newFleet writes nothing yet; start does.
--- a/test/harness/main.go
+++ b/test/harness/main.go
@@ -19,6 +19,7 @@
 	}{
 		{"demo", "Show the whole path of one deployment", &demoCommand{}},
 		{"soak", "Run a deployment under randomised faults", &soakCommand{}},
+		{"convergence", "Measure how soon a change is in force everywhere", &convergenceCommand{}},
 		{"bench", "Measure added latency and requests per core", &benchCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.summary, c.summary+".", c.command); err != nil {
