Keep the whole retry share of slow services

Change: the burst bounds what is kept and not the sum. Ruled out: a lower limit in the test, which is right.

--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -79,12 +79,14 @@
 	return b.reserve.Load() >= tokenUnit && b.floorAt.CompareAndSwap(last, nanos) && withdraw(&b.reserve)
 }
 
-// deposit keeps a part of the counter and adds a share of one attempt.
+// deposit keeps a part of the counter and adds a share of one attempt. The
+// burst bounds what is kept and not the sum, because otherwise a burst of one
+// loses the part of the share that reaches beyond it.
 func deposit(counter *atomic.Int64, keep, share float64, burst int64) {
 	amount := int64(max(share, 0) * tokenUnit)
 	for {
 		old := counter.Load()
-		next := min(int64(float64(old)*keep)+amount, burst*tokenUnit)
+		next := min(int64(float64(old)*keep), burst*tokenUnit) + amount
 		if next == old || counter.CompareAndSwap(old, next) {
 			return
 		}
--- a/internal/route/plan.go
+++ b/internal/route/plan.go
@@ -31,7 +31,7 @@
 // limitShares are the parts of a server's connection limit given to entries of
 // each tier. They are well below 1 because an entry with fewer servers hears
 // of each more often: before 500 entries, parts of 0.5, 0.2 and 0.1 gave a
-// goodput of 0.935 at 95% load, these 0.944.
+// goodput of 0.935 at 95% load, these 0.943.
 var limitShares = [tierCount]float64{0.1, 0.05, 0.03}
 
 // reducedShare is the part of its slots that counts for a Reduced server.
