Put an accepted change in force without reading it back

Cause: with the platform down right after the acceptance, 8 of 10 changes came into force nowhere: only a poll of the table brought them to the first node. Change: the node that wrote the change hands its rows to confsync, which applies them after every change before and passes them on by gossip; a host node that fails without a report counts as full for a second; connections to hosts end after 30 s without use, as package route assumes. Ruled out: polling at once after the acceptance, which loses the same race.

--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -64,6 +64,9 @@
 	hintPeer    string
 	hintVersion uint64
 	pollNow     bool
+	// accepted holds the rows of changes that this node wrote, by version,
+	// until they are in force.
+	accepted map[uint64][]fleet.Row
 
 	// The rest belongs to the goroutine of Run.
 	nextPoll time.Time
@@ -85,6 +88,8 @@
 		mirror:  newMirror(),
 		wake:    make(chan struct{}, 1),
 		storeUp: true,
+
+		accepted: map[uint64][]fleet.Row{},
 	}
 	if s.poll <= 0 {
 		s.poll = 5 * time.Second
@@ -118,6 +123,46 @@
 	s.signal()
 }
 
+// Accept takes a change that this node wrote to the table, so that it comes
+// into force and reaches peers even if the platform fails right after it. rows
+// is nil if only the version is known. It does not block.
+func (s *Syncer) Accept(version uint64, rows []fleet.Row) {
+	s.mu.Lock()
+	s.pollNow = true
+	if rows != nil {
+		s.accepted[version] = rows
+	}
+	s.mu.Unlock()
+	s.signal()
+}
+
+// applyAccepted puts changes that this node wrote in force, each after all
+// changes before it.
+func (s *Syncer) applyAccepted() {
+	for {
+		own, _ := s.mirror.state()
+		rows, ok := s.takeAccepted(own)
+		if !ok {
+			return
+		}
+		s.apply(update{version: own + 1, rows: rows})
+	}
+}
+
+// takeAccepted returns the rows of the change after own and forgets those that
+// are in force.
+func (s *Syncer) takeAccepted(own uint64) ([]fleet.Row, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for version := range s.accepted {
+		if version <= own {
+			delete(s.accepted, version)
+		}
+	}
+	rows, ok := s.accepted[own+1]
+	return rows, ok
+}
+
 // Hint tells that a peer has the given version in force. It does not block.
 func (s *Syncer) Hint(peerID string, version uint64) {
 	own, _ := s.mirror.state()
@@ -169,9 +214,11 @@
 	if peer, ok := s.takeHint(); ok {
 		s.followPeer(ctx, peer)
 	}
+	s.applyAccepted()
 	if s.pollDue(epoch) {
 		s.pollPlatform(ctx, epoch)
 	}
+	s.applyAccepted()
 	if !s.Fresh() && !s.storeUp {
 		s.askPeers(ctx, epoch)
 	}
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -296,3 +296,21 @@
 		}
 	})
 }
+
+// Guards against an accepted change that nobody has in force because the
+// platform failed right after the transaction, and against one that comes into
+// force before the changes that precede it.
+func TestAcceptedChangeNeedsNoPlatform(t *testing.T) {
+	s := New(Options{Self: "x", Board: blackboard.New(fleet.NodeRecord{ID: "x"})})
+	key := fleet.PrefixService + "a"
+	s.Accept(2, []fleet.Row{{Key: key, Version: 2, Value: []byte(`{"name":"second"}`)}})
+	s.applyAccepted()
+	if version, _ := s.mirror.state(); version != 0 {
+		t.Fatalf("version %d is in force without the change before it", version)
+	}
+	s.Accept(1, []fleet.Row{{Key: key, Version: 1, Value: []byte(`{"name":"first"}`)}})
+	s.applyAccepted()
+	if version, _ := s.mirror.state(); version != 2 {
+		t.Fatalf("version %d is in force after both changes", version)
+	}
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -23,7 +23,8 @@
 	Choose(now time.Time, view *fleet.View, r *forward.Request, tried []string) (*fleet.Candidate, bool)
 	// Started and Finished count the attempts that are under way.
 	Started(server string)
-	Finished(server string, reply *forward.Reply, now time.Time)
+	// slots is the capacity of the server.
+	Finished(server string, slots int, reply *forward.Reply, now time.Time)
 	// Fresh counts a request of a caller; MayRetry takes a retry out of the
 	// budget that grows with fresh requests.
 	Fresh(service fleet.Service, now time.Time)
@@ -32,6 +33,8 @@
 	MayHedge(service fleet.Service, now time.Time) bool
 	// HedgeDelay returns the time after which a read is sent to a second server.
 	HedgeDelay(service fleet.Service) (time.Duration, bool)
+	// Prune forgets servers that the view does not have.
+	Prune(view *fleet.View)
 	// Answered records the latency of an answer.
 	Answered(service fleet.Service, latency time.Duration)
 }
@@ -66,10 +69,18 @@
 	} else {
 		reply = x.sendRemote(ctx, host, r)
 	}
-	e.options.Balancer.Finished(r.Server, reply, time.Now())
+	e.options.Balancer.Finished(r.Server, slotsOf(host, r.Server), reply, time.Now())
 	return reply
 }
 
+// slotsOf returns the capacity of an attached server; 0 if it is gone.
+func slotsOf(host *fleet.NodeRecord, server string) int {
+	if record, ok := host.Server(server); ok {
+		return record.Slots
+	}
+	return 0
+}
+
 func (x *exchange) sendRemote(ctx context.Context, host *fleet.NodeRecord, r *forward.Request) *forward.Reply {
 	e := x.entry
 	event := detect.Event{Target: host.ID, Service: r.Service, Request: e.pathEvents.Add(1), At: time.Now()}
--- a/internal/entry/balancer.go
+++ b/internal/entry/balancer.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tarragonford/tarragonford/internal/codes"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/route"
@@ -35,11 +36,15 @@
 func (b *routerBalancer) Started(server string) { b.router.Loads().Server(server).Begin() }
 
 // Finished implements Balancer.
-func (b *routerBalancer) Finished(server string, reply *forward.Reply, now time.Time) {
+func (b *routerBalancer) Finished(server string, slots int, reply *forward.Reply, now time.Time) {
 	load := b.router.Loads().Server(server)
 	load.End()
 	if reply.HasLoad {
 		load.Report(now, reply.Load.Running, reply.Load.Queued)
+		return
+	}
+	if reply.Err != nil && reply.Err.Code.Outcome == codes.Unknown {
+		load.Fail(now, slots)
 	}
 }
 
@@ -63,6 +68,17 @@
 	return b.router.Hedge(service.Name).Delay()
 }
 
+// Prune implements Balancer.
+func (b *routerBalancer) Prune(view *fleet.View) {
+	known := map[string]bool{}
+	for _, service := range view.Services {
+		for i := range service.Candidates {
+			known[service.Candidates[i].Server.ID] = true
+		}
+	}
+	b.router.Loads().Prune(func(id string) bool { return known[id] })
+}
+
 // Answered implements Balancer.
 func (b *routerBalancer) Answered(service fleet.Service, latency time.Duration) {
 	b.router.Hedge(service.Name).Observe(latency)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,6 +74,10 @@
 	return e
 }
 
+// Prune forgets what the entry knows about servers that are gone. It is called
+// from time to time.
+func (e *Entry) Prune() { e.options.Balancer.Prune(e.options.Viewer.View()) }
+
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.router.ServeHTTP(w, r) }
 
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -124,13 +124,14 @@
 	return &candidates[len(tried)], true
 }
 
-func (b *fakeBalancer) Started(server string)                        { b.sent[server]++ }
-func (*fakeBalancer) Finished(string, *forward.Reply, time.Time)     {}
-func (*fakeBalancer) Fresh(fleet.Service, time.Time)                 {}
-func (*fakeBalancer) MayRetry(fleet.Service, time.Time) bool         { return true }
-func (*fakeBalancer) MayHedge(fleet.Service, time.Time) bool         { return true }
-func (*fakeBalancer) HedgeDelay(fleet.Service) (time.Duration, bool) { return 0, false }
-func (*fakeBalancer) Answered(fleet.Service, time.Duration)          {}
+func (b *fakeBalancer) Started(server string)                         { b.sent[server]++ }
+func (*fakeBalancer) Finished(string, int, *forward.Reply, time.Time) {}
+func (*fakeBalancer) Fresh(fleet.Service, time.Time)                  {}
+func (*fakeBalancer) MayRetry(fleet.Service, time.Time) bool          { return true }
+func (*fakeBalancer) MayHedge(fleet.Service, time.Time) bool          { return true }
+func (*fakeBalancer) Prune(*fleet.View)                               {}
+func (*fakeBalancer) HedgeDelay(fleet.Service) (time.Duration, bool)  { return 0, false }
+func (*fakeBalancer) Answered(fleet.Service, time.Duration)           {}
 
 type noPaths struct{}
 
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -19,7 +19,9 @@
 	dialTimeout = 500 * time.Millisecond
 	// idleConnsPerHost bounds the kept connections to one host node.
 	idleConnsPerHost = 32
-	idleConnTimeout  = 60 * time.Second
+	// idleConnTimeout keeps the connections to a host few: package route sizes
+	// the subset of hosts for connections that end after this time without use.
+	idleConnTimeout = 30 * time.Second
 )
 
 // Client sends hops to host nodes.
--- a/internal/intentstore/engine.go
+++ b/internal/intentstore/engine.go
@@ -36,6 +36,10 @@
 	// Pause waits between two attempts and returns early if ctx ends. Default:
 	// a timer with a jitter of half the time.
 	Pause func(ctx context.Context, d time.Duration)
+	// OnChange is called with each change of the configuration that this engine
+	// wrote, with its rows. It must not block. The rows are nil if the answer to
+	// the transaction was lost and the change was found by reading back.
+	OnChange func(version uint64, rows []fleet.Row)
 }
 
 // Engine reads intents and takes steps. It is safe for concurrent use, and any
@@ -53,6 +57,9 @@
 	if options.NewMark == nil {
 		options.NewMark = uuid.NewString
 	}
+	if options.OnChange == nil {
+		options.OnChange = func(uint64, []fleet.Row) {}
+	}
 	if options.Pause == nil {
 		options.Pause = pauseWithJitter
 	}
--- a/internal/intentstore/take.go
+++ b/internal/intentstore/take.go
@@ -141,5 +141,8 @@
 	if err != nil {
 		return in, false, codes.StoreOutcomeUnknown.Wrap(err, "step %d of intent %s took effect but the intent cannot be read", t.sent, t.id)
 	}
+	if in.ChangeVersion > 0 {
+		e.options.OnChange(in.ChangeVersion, nil)
+	}
 	return in, true, nil
 }
--- a/internal/intentstore/transact.go
+++ b/internal/intentstore/transact.go
@@ -115,7 +115,22 @@
 	if err != nil {
 		return err
 	}
-	return e.store.Transact(ctx, fleet.Table, checks, writes)
+	if err := e.store.Transact(ctx, fleet.Table, checks, writes); err != nil {
+		return err
+	}
+	if changeVersion > 0 {
+		e.options.OnChange(changeVersion, changedRows(changeVersion, result.changes))
+	}
+	return nil
+}
+
+// changedRows returns the rows of a change as nodes keep them.
+func changedRows(version uint64, writes []intent.RowWrite) []fleet.Row {
+	rows := make([]fleet.Row, len(writes))
+	for i, write := range writes {
+		rows[i] = fleet.Row{Key: write.Key, Version: version, Value: write.Value}
+	}
+	return rows
 }
 
 // appendRecords adds the intent's row, its audit row and its entry in the list
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,8 @@
 	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
-// sweepInterval is the time between two removals of expired ledger records.
+// sweepInterval is the time between two removals of expired ledger records and
+// of the load of servers that are gone.
 const sweepInterval = 10 * time.Second
 
 // Node is the process of one node.
@@ -137,7 +138,7 @@
 	n.gossip.Handle(fence.MethodFence, fences.HandleFence)
 	n.gossip.Handle(fence.MethodFenceVia, fences.HandleFenceVia)
 	n.recent = entry.NewRecent()
-	n.engine = intentstore.New(n.store, intentstore.Options{})
+	n.engine = intentstore.New(n.store, intentstore.Options{OnChange: n.syncer.Accept})
 	n.gossip.Handle(methodTraffic, n.answerTraffic)
 	n.detection = controller.NewDetection(controller.DetectionOptions{
 		Rand:         newRand(),
@@ -257,6 +258,7 @@
 			return
 		case <-ticker.C:
 			n.ledger.Sweep()
+			n.entry.Prune()
 			n.telemetry.Metrics.LedgerEntries.Set(int64(n.ledger.Len()))
 			n.telemetry.Metrics.LedgerBytes.Set(n.ledger.Bytes())
 		}
