Make published summaries and state suspect follow real movement only

Cause: summaries followed noise. State suspect changed 7 times an hour under noise for preset trust.

Evidence that outlasts the peers' time to notice is counted from their number of requests and not from time alone. Verdicts wait 3 s while the baseline rises, in every case. A verdict can be withdrawn after 5 real successes while it settles, and settling takes 5 s, so that the withdrawal reaches the others first. Suspect starts at 0.75 of the threshold.

Ruled out: wider steps alone, because a baseline that is 35% off brought false verdicts for servers that are slower than their peers.

--- a/internal/detect/params.go
+++ b/internal/detect/params.go
@@ -65,9 +65,10 @@
 	// Latency enables evidence from the latency of finished requests. Paths
 	// leave it off: the latency of a server says nothing about the path.
 	Latency bool
-	// PeerDelay is the time that published summaries of peers need to show a
-	// change of the whole service. Evidence from latency that lasted longer is
-	// a verdict without a direct look at the peers. Default 5s.
+	// PeerDelay is the time in which a change of a summary reaches every node.
+	// Evidence from latency that lasted so long, after peers with the same
+	// load would have noticed a change of the whole service, is a verdict
+	// without a direct look at them. Default eject.SettleTime.
 	PeerDelay time.Duration
 	// Settle is the time during which a verdict may still be withdrawn,
 	// because work continues until the ejection takes effect. Default
@@ -94,7 +95,7 @@
 		PauseAllowance:     230 * time.Millisecond,
 		StallScale:         7 * time.Millisecond,
 		Latency:            true,
-		PeerDelay:          5 * time.Second,
+		PeerDelay:          eject.SettleTime,
 		Settle:             eject.SettleTime,
 		Hold:               10 * time.Second,
 		MaxHold:            5 * time.Minute,
--- a/internal/detect/peers.go
+++ b/internal/detect/peers.go
@@ -12,7 +12,7 @@
 	// riseFactor and riseQuiet postpone verdicts while the baseline itself
 	// rises: half of the way up, the peers look usual and the server slow.
 	riseFactor = 1.5
-	riseQuiet  = 2 * time.Second
+	riseQuiet  = 3 * time.Second
 	// confirmStall is the same for a verdict on a stall, in nats. One usual
 	// answer is enough, because a service that stalls gives none.
 	confirmStall = 0.9
--- a/internal/detect/states.go
+++ b/internal/detect/states.go
@@ -11,10 +11,14 @@
 // record at every tick. A target on probation has failed before, so less
 // evidence is enough to eject it again.
 const (
-	suspectShare   = 0.5
+	suspectShare   = 0.75
 	clearShare     = 0.25
 	probationShare = 0.6
 	holdJitter     = 0.1
+	// withdrawSuccesses is the number of real successes that a verdict needs to
+	// be withdrawn while it settles. The target gets a reduced share then, so
+	// that the number for probation would take longer than settling.
+	withdrawSuccesses = 5
 )
 
 // step moves one target to its next state, if it changes.
@@ -74,7 +78,7 @@
 		return fleet.Probation, ReasonHoldEnded
 	}
 	settling := elapsed < d.params.Settle && s.strikes <= 1
-	if settling && share < clearShare && s.successes >= d.params.ProbationSuccesses {
+	if settling && share < clearShare && s.successes >= withdrawSuccesses {
 		return fleet.Suspect, ReasonCleared
 	}
 	return fleet.Ejected, ReasonCleared
@@ -84,11 +88,17 @@
 // need no look at the present of the peers: the floor bounds what a service
 // that fails as a whole can lose.
 func (d *Detector) confirmed(s *target, now time.Time, reason Reason, risen time.Time) bool {
-	if reason == ReasonFailures || now.Sub(risen) >= d.params.PeerDelay {
+	if reason == ReasonFailures {
+		return true
+	}
+	if now.Sub(s.roseAt) < riseQuiet {
+		return false
+	}
+	if d.peersHadTime(s, now, reason, risen) {
 		return true
 	}
 	log, ok := d.peers[s.Service]
-	if !ok || now.Sub(s.roseAt) < riseQuiet {
+	if !ok {
 		return false
 	}
 	needed := confirmLatency * s.thresholds[failAll]
@@ -98,6 +108,17 @@
 	return log.support(s, risen) >= needed
 }
 
+// peersHadTime tells whether peers that are in the same state since risen would
+// have shown it in their summaries. They need requests to notice, about as many
+// as this target has seen since, and then the time of gossip. A stall shows
+// without requests.
+func (d *Detector) peersHadTime(s *target, now time.Time, reason Reason, risen time.Time) bool {
+	if now.Sub(risen) < d.params.PeerDelay {
+		return false
+	}
+	return reason == ReasonStall || now.Sub(s.noticedAt(risen, now)) >= d.params.PeerDelay
+}
+
 // enter performs a change of state.
 func (d *Detector) enter(s *target, next fleet.Health, now time.Time, reason Reason, share float64) Transition {
 	t := Transition{Target: s.ID, Service: s.Service, From: s.health, To: next, At: now, Reason: reason, Evidence: share}
--- a/internal/detect/target.go
+++ b/internal/detect/target.go
@@ -45,7 +45,7 @@
 	// maxStuckGain bounds the evidence of a stall per request that waits.
 	maxStuckGain = 4.0
 	// summaryInterval is the time between two updates of the published summary.
-	summaryInterval = 500 * time.Millisecond
+	summaryInterval = 200 * time.Millisecond
 	// spreadInterval is the time between two updates of the spread, which
 	// takes a sort of the whole window.
 	spreadInterval = 2 * time.Second
@@ -108,6 +108,8 @@
 	running  []request
 	progress time.Time
 	stall    float64
+	// idle is the time without progress of a target that seems stalled.
+	idle     time.Duration
 	stallLow time.Time
 	window   window
 	observed fleet.Observed
@@ -283,7 +285,7 @@
 
 // setStall rates the time for which requests ran and none finished.
 func (s *target) setStall(now, oldest time.Time, stuck int, usual time.Duration, p *Params) {
-	s.stall = 0
+	s.stall, s.idle = 0, 0
 	since := latest(oldest, s.progress)
 	if stuck > 0 {
 		excess := now.Sub(since) - usual - p.PauseAllowance
@@ -293,6 +295,9 @@
 	if s.stall == 0 {
 		s.stallLow = since
 	}
+	if s.stall >= suspectShare*s.thresholds[failAll] {
+		s.idle = now.Sub(since)
+	}
 }
 
 // strongest returns the hypothesis whose evidence is the highest share of its
@@ -328,16 +333,25 @@
 		return
 	}
 	s.summaryAt = now.Add(summaryInterval)
-	ages := make([]float64, 0, 8)
-	for _, r := range s.running {
-		ages = append(ages, now.Sub(r.started).Seconds())
-	}
-	s.observed = s.window.summary(s.observed, ages, scratch)
+	s.observed = s.window.fast(s.observed, s.idle, scratch)
 	s.learnTypical()
-	if !now.Before(s.spreadAt) || s.observed.Spread == 0 {
+	if !now.Before(s.spreadAt) {
 		s.spreadAt = now.Add(spreadInterval)
-		s.observed.Spread = s.window.spread(s.observed.Spread, scratch)
+		s.observed = s.window.slow(s.observed, scratch)
+	}
+}
+
+// noticedAt returns when noticeAfter requests had finished after a time; the present if they
+// have not.
+func (s *target) noticedAt(since, now time.Time) time.Time {
+	needed := 0
+	for i := 1; i <= s.window.count && s.window.back(i).at > since.UnixNano(); i++ {
+		needed++
+	}
+	if needed <= noticeAfter {
+		return now
 	}
+	return time.Unix(0, s.window.back(needed-noticeAfter).at)
 }
 
 func latest(a, b time.Time) time.Time {
--- a/internal/eject/eject.go
+++ b/internal/eject/eject.go
@@ -13,7 +13,7 @@
 // same requests by the time one takes effect. With exchanges every 500 ms,
 // docs/detection.md gives the measured time for 500 nodes. The clocks of nodes
 // must agree to within the difference.
-const SettleTime = 4 * time.Second
+const SettleTime = 5 * time.Second
 
 // Member is a backend server as input of a decision.
 type Member struct {
--- a/internal/experiment/detection_cases.go
+++ b/internal/experiment/detection_cases.go
@@ -50,6 +50,8 @@
 	faultLength = 30 * time.Second
 	// wellLength is the length of one run with well servers only.
 	wellLength = 600 * time.Second
+	// steadyAfter is the time after which summaries should hardly change.
+	steadyAfter = 2 * time.Minute
 	// wellShare of server-seconds goes to each of the four cases that add up
 	// to a million for one preset.
 	wellShare = 250_000
--- a/internal/experiment/detection_test.go
+++ b/internal/experiment/detection_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 )
 
 // TestDetectionIsReproducible guards against outputs that depend on the order
@@ -61,3 +62,30 @@
 		}
 	}
 }
+
+// maxRepublished bounds the changes of the summary of a healthy server in an
+// hour. At 2 an hour, 5,300 servers change 3 node records a second, of about
+// 2 KB each.
+const maxRepublished = 2.0
+
+// TestSummariesRarelyChange guards against summaries that follow noise: each
+// change is gossip to every node of the fleet.
+func TestSummariesRarelyChange(t *testing.T) {
+	rows := detectionRows(detectionScale{trials: 1, wellScale: 0.2, cases: []string{"noise"}})
+	for i := range rows {
+		if rows[i].policy.name != "tarragon" {
+			continue
+		}
+		changes, seconds := 0, 0.0
+		for trial := range rows[i].outcomes {
+			outcome := rows[i].runTrial(1, trial)
+			changes += outcome.republished
+			seconds += outcome.seconds * float64(rows[i].length-steadyAfter) / float64(rows[i].length)
+		}
+		perHour := float64(changes) / seconds * time.Hour.Seconds()
+		t.Logf("%s: %.2f changes per server and hour", rows[i].deployment.preset, perHour)
+		if perHour > maxRepublished {
+			t.Errorf("%s: %.2f changes per server and hour, want at most %.1f", rows[i].deployment.preset, perHour, maxRepublished)
+		}
+	}
+}
--- a/internal/experiment/detection_world.go
+++ b/internal/experiment/detection_world.go
@@ -117,7 +117,9 @@
 	// took effect after settling.
 	false    int
 	setAside int
-	seconds  float64
+	// republished counts changes of published summaries after steadyAfter.
+	republished int
+	seconds     float64
 }
 
 func newWorld(c detectionCase, d deployment, rng *rand.Rand, j judge) *world {
@@ -398,6 +400,7 @@
 		now.health = append(now.health, w.servers[i].health)
 		now.asked = append(now.asked, w.servers[i].asked)
 	}
+	w.countRepublished(now)
 	w.records = append(w.records, now)
 	for len(w.records) > 1 && w.records[1].at <= w.now-gossipDelay {
 		w.records = w.records[1:]
@@ -408,6 +411,20 @@
 	}
 }
 
+// countRepublished counts the summaries that changed since the last exchange,
+// each of which costs gossip.
+func (w *world) countRepublished(now record) {
+	if len(w.records) == 0 || w.now < steadyAfter {
+		return
+	}
+	last := w.records[len(w.records)-1]
+	for i := range now.observed {
+		if now.observed[i] != last.observed[i] {
+			w.outcome.republished++
+		}
+	}
+}
+
 // route sets the weights from the ejection decision.
 func (w *world) route(heard record) {
 	members := make([]eject.Member, len(w.servers))
