Correct comments on gossip cost and thresholds

Cause: one comment overstated the cost of summaries that change once a minute, and one described a bound that the evidence of two failures exceeds.

Nothing was ruled out.

Conclusion: no change of behaviour.

--- a/internal/detect/params.go
+++ b/internal/detect/params.go
@@ -23,8 +23,8 @@
 }
 
 // minThreshold and maxThreshold bound the evidence, in nats, that a verdict
-// needs. Below the minimum two failures at a usual background of 0.5% would
-// be enough; the maximum keeps a mistyped cost from switching detection off.
+// needs. One failure weighs up to 5.3 nats and must never be enough; the
+// maximum keeps a mistyped cost from switching detection off.
 const (
 	minThreshold = 7.0
 	maxThreshold = 30.0
--- a/internal/detect/summary.go
+++ b/internal/detect/summary.go
@@ -21,7 +21,7 @@
 
 // How far an estimate moves, in steps, before the published value follows.
 // Every change is gossip to the whole fleet: 5,300 servers that changed once a
-// minute would cost each node a hundred times its budget of 13 KB/s. The slow
+// minute would cost each node 220 KB/s, of a budget of 13 KB/s. The slow
 // estimates have a standard error of 0.25 steps or less. fastMedian is a factor
 // of 2: the standard error of the fast median is half a step, and a slowdown
 // below 2 brings no verdict.
