--- a/internal/blackboard/entries.go
+++ b/internal/blackboard/entries.go
@@ -1,6 +1,7 @@
 package blackboard
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -102,13 +103,32 @@
 }
 
 func (e *Entries) replace(record *fleet.NodeRecord) {
-	if old, ok := e.nodes[record.ID]; ok {
+	old, ok := e.nodes[record.ID]
+	e.nodes[record.ID] = record
+	if ok && sameRouting(old, record) {
+		e.changed = true
+		return
+	}
+	if ok {
 		e.markDirty(old)
 	}
-	e.nodes[record.ID] = record
 	e.markDirty(record)
 }
 
+// sameRouting reports whether two records of a node differ at most in what no
+// candidate depends on: the version, the configuration version and the list of
+// unreachable nodes. Every node publishes its configuration version after each
+// change; rebuilding the candidates of all services for that took most of the
+// processor time of 500 nodes.
+func sameRouting(a, b *fleet.NodeRecord) bool {
+	return a.Version.Incarnation == b.Version.Incarnation &&
+		a.Leaving == b.Leaving && a.Left == b.Left &&
+		a.Region == b.Region && a.DataCentre == b.DataCentre &&
+		a.CallerAddr == b.CallerAddr && a.TrafficAddr == b.TrafficAddr &&
+		a.ControlAddr == b.ControlAddr && a.AdminAddr == b.AdminAddr &&
+		slices.Equal(a.Servers, b.Servers)
+}
+
 // ForgetNode drops the record of another node.
 func (e *Entries) ForgetNode(id string) {
 	record, ok := e.nodes[id]
--- a/internal/gossip/doc.go
+++ b/internal/gossip/doc.go
@@ -40,7 +40,9 @@
 // in one direction or both, takes nobody out of service.
 //
 // A record is forgotten when its node has been down, or has left, for the time
-// in the settings. Its address is kept for 24 hours and called now and then,
+// in the settings; nodes that list it keep it 30 s longer, so that their lists
+// hold until everyone else has forgotten it. A node that joined while the other
+// was down counts from its own start and may bring the record back once. Its address is kept for 24 hours and called now and then,
 // like those of seeds and of nodes that are down, one call a second in all. A
 // forgotten record comes back when its version is newer or when the sender
 // counts the node as up.
--- a/internal/gossip/down.go
+++ b/internal/gossip/down.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,10 @@
 	// evaluateInterval is the time between two evaluations. The result depends
 	// on time through heardMemory and forgetAfter.
 	evaluateInterval = 250 * time.Millisecond
+	// listerMargin is how much longer than others a node keeps the record of a
+	// node that it lists. Nodes that forgot would drop it from their lists, and
+	// those that had not yet would then count it as up and bring it back.
+	listerMargin = 30 * time.Second
 )
 
 // Reach is what this node concludes about reaching others.
@@ -65,9 +70,14 @@
 
 	reach := s.paths.reach(records, s.id)
 	reach.Down = s.downNodes(now, records, previous, reach.Unreachable)
-	s.store.setDown(reach.Down)
-	s.forgetSilent(now, records, reach.Down)
-	s.logChanges(previous, reach.Down)
+	silent := maps.Clone(reach.Down)
+	for _, id := range reach.Unreachable {
+		silent[id] = true
+	}
+	s.store.setDown(silent)
+	s.forgetSilent(now, records, silent, reach.Unreachable)
+	s.logChanges(s.loggedDown, reach.Down)
+	s.loggedDown = reach.Down
 	return reach
 }
 
@@ -145,26 +155,30 @@
 	return ok && now.Sub(at) < limit
 }
 
-// setDown replaces the nodes that count as down.
+// setDown replaces the nodes that count as down or that this node cannot reach.
 func (s *store) setDown(down map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down = down
 }
 
-// forgetSilent drops records of nodes that have been down or have left for
-// forgetAfter.
-func (s *Service) forgetSilent(now time.Time, records []*fleet.NodeRecord, down map[string]bool) {
+// forgetSilent drops records of nodes that have been silent or have left for
+// forgetAfter, and those that this node lists a little later.
+func (s *Service) forgetSilent(now time.Time, records []*fleet.NodeRecord, silent map[string]bool, listed []string) {
 	for _, record := range records {
-		if record.ID == s.id || !record.Left && !down[record.ID] {
+		if record.ID == s.id || !record.Left && !silent[record.ID] {
 			delete(s.silentSince, record.ID)
 			continue
 		}
+		limit := s.forgetAfter
+		if slices.Contains(listed, record.ID) {
+			limit += listerMargin
+		}
 		since, ok := s.silentSince[record.ID]
 		switch {
 		case !ok:
 			s.silentSince[record.ID] = now
-		case now.Sub(since) >= s.forgetAfter:
+		case now.Sub(since) >= limit:
 			delete(s.silentSince, record.ID)
 			s.store.forget(record.ID, now)
 		}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -13,6 +13,9 @@
 	// exchangeTimeout bounds one call of an exchange. It is long enough for a
 	// page of records to a slow peer; a page that is cut off is sent again.
 	exchangeTimeout = 5 * time.Second
+	// averageOver is the number of exchanges that the moving average of their
+	// time covers. Concurrent updates may lose one, which does not matter.
+	averageOver = 8
 	// settled is the time without changes on both sides after which a
 	// difference of the hashes is not taken for news on the way.
 	settled = 300 * time.Millisecond
@@ -127,6 +130,8 @@
 	params.From = s.id
 	params.summary = s.store.summary(started)
 	peer, err := s.callAddr(ctx, addr, id, methodExchange, params, result)
+	average := s.exchangeTime.Load()
+	s.exchangeTime.Store(average + (int64(time.Since(started))-average)/averageOver)
 	if err == nil {
 		s.lastExchange.Store(started.UnixNano())
 		s.noteConfig(peer, result.Config)
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -24,8 +24,8 @@
 	// extends both timeouts.
 	maxSlowness = 8
 	// maxLag is how late the timeout of a probe may fire. A later one shows that
-	// this process does not get to run.
-	maxLag = 100 * time.Millisecond
+	// this process waits for a processor; a probe takes about six such waits.
+	maxLag = 25 * time.Millisecond
 	// viaEvery is the number of direct probes between two indirect ones of a
 	// node that is already listed as unreachable.
 	viaEvery = 5
@@ -128,12 +128,24 @@
 	if s.viaRunning.Add(1) > maxVia {
 		return nil, errBusy
 	}
-	if err := s.probeOnce(ctx, params.ID, params.Addr); err != nil {
+	late, err := s.probeTimed(ctx, params.ID, params.Addr)
+	if late {
+		return nil, errBusy
+	}
+	if err != nil {
 		return nil, &jsonrpc2.Error{Code: codeNoAnswer, Message: err.Error()}
 	}
 	return probeResult{ID: params.ID}, nil
 }
 
+// probeTimed probes a node directly. A failure is late if this process was
+// paused or starved meanwhile, so that it says nothing about the node.
+func (s *Service) probeTimed(ctx context.Context, id, addr string) (late bool, err error) {
+	started, limit := time.Now(), s.paths.patience()*probeTimeout+maxLag
+	err = s.probeOnce(ctx, id, addr)
+	return err != nil && time.Since(started) > limit, err
+}
+
 // probeOnce probes a node directly.
 func (s *Service) probeOnce(ctx context.Context, id, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, s.paths.patience()*probeTimeout)
@@ -178,14 +190,11 @@
 	}
 	defer s.paths.end(id)
 	for {
-		started, limit := time.Now(), s.paths.patience()*probeTimeout+maxLag
-		err := s.probeOnce(ctx, id, addr)
+		late, err := s.probeTimed(ctx, id, addr)
 		if ctx.Err() != nil {
 			return
 		}
-		if time.Since(started) > limit {
-			// This process was paused or is starved, which says nothing about
-			// the peer.
+		if late {
 			s.paths.conclude(id, noEvidence)
 			return
 		}
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -27,6 +27,11 @@
 	// ejection allows. Without it, 50 joins a second made each of 500 nodes send
 	// 250 messages a second.
 	floodSpacing = 250 * time.Millisecond
+	// floodRest is the spacing as a multiple of the time that an exchange takes,
+	// so that slow peers get less to do and an overload ends.
+	floodRest = 4
+	// maxFloodSpacing bounds the spacing.
+	maxFloodSpacing = 5 * time.Second
 	// lazyPause collects changes that only inform operators.
 	lazyPause = time.Second
 	// outreachInterval is the time between two calls to a node outside of the
@@ -77,6 +82,8 @@
 	// lastExchange is the start of the last successful exchange in Unix
 	// nanoseconds.
 	lastExchange atomic.Int64
+	// exchangeTime is a moving average of the time of an exchange in nanoseconds.
+	exchangeTime atomic.Int64
 	pool         *pool
 	store        *store
 	paths        *paths
@@ -85,8 +92,9 @@
 	lifetime context.Context
 	end      context.CancelFunc
 
-	// evaluated and silentSince belong to the caller of Collect.
+	// evaluated, silentSince and loggedDown belong to the caller of Collect.
 	evaluated   time.Time
+	loggedDown  map[string]bool
 	silentSince map[string]time.Time
 
 	mu       sync.Mutex
@@ -186,7 +194,7 @@
 		case <-ctx.Done():
 			return
 		case <-s.store.urgent:
-			if !pause(ctx, max(floodPause, time.Until(last.Add(floodSpacing)))) {
+			if !pause(ctx, max(floodPause, time.Until(last.Add(s.spacing())))) {
 				return
 			}
 		case <-time.After(jitter(lazyPause)):
@@ -200,6 +208,11 @@
 	}
 }
 
+// spacing returns the least time between two floods at present.
+func (s *Service) spacing() time.Duration {
+	return min(max(floodSpacing, floodRest*time.Duration(s.exchangeTime.Load())), maxFloodSpacing)
+}
+
 // outreachLoop calls nodes outside of the reachable membership, one at a time,
 // so that a node joins through seeds and the sides of a split find each other.
 func (s *Service) outreachLoop(ctx context.Context) {
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -43,10 +43,11 @@
 // store holds the newest known copy of every record. It is safe for
 // concurrent use; no method blocks.
 type store struct {
-	mu       sync.Mutex
-	selfID   string
-	items    map[string]item
-	graves   map[string]grave
+	mu     sync.Mutex
+	selfID string
+	items  map[string]item
+	graves map[string]grave
+	// down holds the nodes that count as down or that this node cannot reach.
 	down     map[string]bool
 	wanted   map[string]time.Time
 	buckets  [bucketCount]uint64
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -49,7 +49,7 @@
 	Unreachable []string `json:"u,omitempty"`
 	Leaving     bool     `json:"l,omitempty"`
 	Left        bool     `json:"x,omitempty"`
-	// Down tells that the sender counts the node as unreachable. A receiver
+	// Down tells that the sender counts the node as down or cannot reach it. A receiver
 	// that has forgotten the node does not take it back on such word.
 	Down bool `json:"d,omitempty"`
 }
