Do not list a node whose path was dropped during a probe

Ruled out: missing records (with the failure printed, all records agreed and no node counted as down; one list had one entry too many).

--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -85,7 +85,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, known := range p.byID {
-		if known.failures > 0 && !slices.Contains(ids, id) {
+		if (known.failures > 0 || known.unreachable) && !slices.Contains(ids, id) {
 			ids = append(ids, id)
 		}
 	}
@@ -328,7 +328,11 @@
 		p.slowness = min(p.slowness+1, maxSlowness-1)
 		return
 	}
-	p.get(id).unreachable = result == notReached
+	// The path is gone if the node was forgotten during the probe. A new one would
+	// be listed without being probed again.
+	if known, ok := p.byID[id]; ok && known.failures > 0 {
+		known.unreachable = result == notReached
+	}
 }
 
 // patience is the factor on the timeouts of probes.
