Bound the input and answers of every listener by settings

Cause: header, body and idle times were constants, connections were unbounded on four of five listeners, the bodies held at a time had no total bound, and an answer to a caller that does not read had no limit in time. A control message allocated its announced length at once. A stop counted a request once for each role of the node that held it.

Change: package limit closes connections beyond a number, bounds the total of request bodies (code 1019) and resets the connection of an aborted answer, since an orderly close looks whole to an HTTP/1.0 client. An answer ends at the deadline plus limits.answer_grace. A caller's body ends at the deadline or limits.body_time. Control messages grow with what arrives and end after limits.message_time. Each limit is a settings key. A hop's deadline beyond 24 h, which could overflow, and a weight that is NaN, not positive or infinite are refused; so are a warm-up beyond 24 h and an announced port that is no number. A stop counts each request once.

Ruled out: netutil.LimitListener, which leaves clients in the backlog.

Figures: no limit on attach, admin, caller and traffic connections before; 256, 256, 10000 and 4096 after. Added latency was not measured.

Conclusion: tests of package node over loopback pass for header, body, idle, connections, control frames, unread answers and the graceful stop.

--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// maxBodyBytes bounds the body of a request.
-	maxBodyBytes = 1 << 20
+	// standardMaxBody bounds the body of a request by default, in bytes.
+	standardMaxBody = 1 << 20
 	// defaultPage and maxPage bound the intents or audit rows of one answer.
 	defaultPage = 100
 	maxPage     = 1000
@@ -52,6 +52,8 @@
 	Store StoreState
 	// Log may be nil.
 	Log *zap.Logger
+	// MaxBody bounds the body of a request in bytes. Default 1 MiB.
+	MaxBody int64
 	// Now returns the time. Default time.Now.
 	Now func() time.Time
 }
@@ -71,6 +73,9 @@
 	if d.Log == nil {
 		d.Log = zap.NewNop()
 	}
+	if d.MaxBody <= 0 {
+		d.MaxBody = standardMaxBody
+	}
 	h := &handler{Dependencies: d, identities: newIdentities(d.Engine, d.Now)}
 	router := mux.NewRouter()
 	h.addIntents(router)
@@ -89,7 +94,7 @@
 // serve authenticates a request and writes the answer or the problem.
 func (h *handler) serve(e endpoint) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		r.Body = http.MaxBytesReader(w, r.Body, h.MaxBody)
 		actor, err := h.identities.authenticate(r)
 		if err != nil {
 			writeProblem(w, err)
--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -142,6 +142,8 @@
 		"The node was paused and refreshes its view first.", "Use another entry address.")
 	HostUnreachable = define(1018, "host-unreachable", statusServiceUnavailable, NotRun,
 		"No connection to the host node could be made.", "Try again after a short pause.")
+	BodyMemory = define(1019, "body-memory", statusServiceUnavailable, NotRun,
+		"The node holds as many request bodies as its memory limit allows.", "Try again after a short pause, or use another entry address.")
 )
 
 // Requests whose outcome is unknown or whose answer was lost.
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -15,12 +16,13 @@
 )
 
 // deliver sends an answer to the caller. If the rest of a large answer breaks
-// off, the caller's connection is aborted, so that it never takes a cut answer
+// off, or the caller does not read it until the grace after its deadline, the caller's connection is aborted, so that it never takes a cut answer
 // for a whole one.
-func (e *Entry) deliver(w http.ResponseWriter, id string, answer *forward.Answer) {
+func (e *Entry) deliver(w http.ResponseWriter, x *exchange, answer *forward.Answer) {
+	forward.LimitAnswer(w, x.request.Deadline, e.options.AnswerGrace)
 	header := w.Header()
 	forward.CopyEndToEnd(header, answer.Header)
-	header.Set(api.HeaderRequestID, id)
+	header.Set(api.HeaderRequestID, x.request.ID)
 	header.Set(api.HeaderOutcome, string(codes.Ran))
 	if answer.Replayed {
 		header.Set(api.HeaderReplayed, "true")
@@ -32,7 +34,10 @@
 		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
 	w.WriteHeader(answer.Status)
-	if _, err := w.Write(answer.Body); err != nil || answer.Rest == nil {
+	if _, err := w.Write(answer.Body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		panic(http.ErrAbortHandler)
+	}
+	if answer.Rest == nil {
 		return
 	}
 	if _, err := io.Copy(w, answer.Rest); err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,12 @@
 	Paths detect.Sink
 	// MaxBody bounds a request body in bytes.
 	MaxBody int64
+	// BodyTime bounds the arrival of a request body; 0 for no bound beside the
+	// deadline.
+	BodyTime time.Duration
+	// AnswerGrace is the time after the deadline at which an answer that the
+	// caller does not read is aborted.
+	AnswerGrace time.Duration
 	// MaxDeadline bounds the deadline that a caller may ask for.
 	MaxDeadline time.Duration
 	// KeyLifetime is the validity of issued keys.
@@ -114,8 +121,9 @@
 		e.refuse(w, id, x, reply.Err)
 		return
 	}
-	e.deliver(w, id, reply.Answer)
-	e.finish(x, telemetry.Result{Outcome: codes.Ran})
+	// An aborted answer counts as well: the request has run.
+	defer e.finish(x, telemetry.Result{Outcome: codes.Ran})
+	e.deliver(w, x, reply.Answer)
 }
 
 // run carries out the exchange in the way that its kind allows.
@@ -202,18 +210,34 @@
 }
 
 func (x *exchange) readBody(w http.ResponseWriter, r *http.Request) error {
+	x.limitBody(w, r)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, x.entry.options.MaxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return codes.BodyTooLarge.New("the body exceeds %d bytes", tooLarge.Limit)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(x.request.Deadline) {
+		return codes.DeadlinePassed.New("the deadline passed before the body had arrived")
 	}
 	if err != nil {
-		return codes.BadRequest.Wrap(err, "the body did not arrive whole")
+		return forward.BodyError(err)
 	}
 	x.request.Body = body
 	return nil
 }
 
+// limitBody ends the reading of the body at the deadline, after which the
+// request would be refused anyway. net/http takes the limit back at the end of
+// the body. Without a body it reads on already, to notice that the caller hangs
+// up, and the limit would count as a hang-up.
+func (x *exchange) limitBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	end := x.request.Deadline
+	if limit := x.started.Add(x.entry.options.BodyTime); x.entry.options.BodyTime > 0 && limit.Before(end) {
+		end = limit
+	}
+	// Recorders of tests have no deadline; the server's own limit holds as well.
+	_ = http.NewResponseController(w).SetReadDeadline(end)
+}
+
 func hostName(hostPort string) string {
 	if host, _, err := net.SplitHostPort(hostPort); err == nil {
 		return host
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -26,6 +26,9 @@
 	Token string
 	// MaxBody bounds a request body in bytes.
 	MaxBody int64
+	// Grace is the time after the deadline at which an answer that the entry
+	// node does not read is aborted.
+	Grace time.Duration
 	// Server runs the requests.
 	Server Server
 	// Telemetry counts and traces the hops.
@@ -46,7 +49,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBody))
 	if err != nil {
 		// The request did not arrive whole, so nothing of it runs.
-		h.write(w, request.ID, Refuse(codes.BadRequest.Wrap(err, "request body")))
+		h.write(w, request.ID, Refuse(BodyError(err)))
 		return
 	}
 	request.Body = body
@@ -54,6 +57,7 @@
 	defer span.End()
 	reply := h.Server.Serve(ctx, request)
 	h.count(span, reply)
+	LimitAnswer(w, request.Deadline, h.Grace)
 	h.write(w, request.ID, reply)
 }
 
@@ -97,7 +101,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
 	if _, err := w.Write(answer.Body); err != nil {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if answer.Rest == nil {
 		return
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -4,6 +4,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -42,6 +43,10 @@
 	headerFenced      = headerPrefix + "Fenced"
 )
 
+// maxHopDeadline is the longest limits.max_deadline with room to spare. A larger
+// number of microseconds could overflow a time.Duration and name another time.
+const maxHopDeadline = 24 * time.Hour
+
 // Token returns the credential of a hop, derived from the fleet's secret.
 func Token(secret string) string {
 	mac := hmac.New(sha256.New, []byte(secret))
@@ -133,11 +138,17 @@
 	if err != nil {
 		return nil, codes.BadRequest.Wrap(err, "deadline")
 	}
+	if deadline > maxHopDeadline.Microseconds() || deadline < -maxHopDeadline.Microseconds() {
+		return nil, codes.BadRequest.New("a deadline of %d us is out of range", deadline)
+	}
 	r.Deadline = now.Add(time.Duration(deadline) * time.Microsecond)
 	if weight := h.Get(headerWeight); weight != "" {
 		if r.Weight, err = strconv.ParseFloat(weight, 64); err != nil {
 			return nil, codes.BadRequest.Wrap(err, "weight")
 		}
+		if !(r.Weight > 0 && r.Weight <= math.MaxFloat32) {
+			return nil, codes.BadRequest.New("a weight of %g is out of range", r.Weight)
+		}
 	}
 	CopyEndToEnd(r.Header, h)
 	return r, nil
--- a/internal/gossip/pool.go
+++ b/internal/gossip/pool.go
@@ -15,7 +15,7 @@
 	// dialTimeout bounds connecting and the handshake.
 	dialTimeout = 2 * time.Second
 	// idleOutbound closes an outgoing connection that carried no call for this
-	// long. It is below idleTimeout, so that the caller closes first.
+	// long. It is below Limits.IdleTime, so that the caller closes first.
 	idleOutbound = 90 * time.Second
 	// halfOpenAfter is the silence after an unanswered call for which the
 	// connection is replaced. A call that its caller cancels sooner proves nothing.
@@ -151,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := newStream(conn, &p.service.Traffic)
+	stream := newStream(conn, &p.service.Traffic, p.service.limits)
 	// The dialler bounds the handshake by its context. A deadline of the stream
 	// would stay armed on the read that is pending when the handshake ends.
 	stream.proven.Store(true)
--- a/internal/gossip/server.go
+++ b/internal/gossip/server.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// maxInbound bounds accepted connections. Probes, exchanges and fences from
-	// a few dozen peers are usual; calls of the lead's methods may come from any
-	// of 500 nodes.
-	maxInbound = 1024
 	// maxConcurrent bounds the requests of one connection that run at a time.
 	// Further requests wait unread.
 	maxConcurrent = 32
@@ -68,12 +64,12 @@
 }
 
 func (s *Service) admit(ctx context.Context, conn net.Conn) {
-	if s.inboundCount.Add(1) > maxInbound {
+	if s.inboundCount.Add(1) > int64(s.limits.Connections) {
 		s.inboundCount.Add(-1)
 		conn.Close()
 		return
 	}
-	in := &inbound{service: s, stream: newStream(conn, &s.Traffic), slots: make(chan struct{}, maxConcurrent)}
+	in := &inbound{service: s, stream: newStream(conn, &s.Traffic, s.limits), slots: make(chan struct{}, maxConcurrent)}
 	rpc := jsonrpc2.NewConn(ctx, in.stream, in, jsonrpc2.SetLogger(discardLogger{}))
 	go func() {
 		<-rpc.DisconnectNotify()
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -47,6 +47,8 @@
 	// ForgetAfter is how long the record of an unreachable node is kept. 0
 	// means 10 minutes.
 	ForgetAfter time.Duration
+	// Limits bounds what one peer can make the node hold.
+	Limits Limits
 	// Log receives changes of state; nil means none.
 	Log *zap.Logger
 }
@@ -63,6 +65,7 @@
 	seeds       []string
 	interval    time.Duration
 	forgetAfter time.Duration
+	limits      Limits
 	log         *zap.Logger
 
 	handlers     map[string]HandlerFunc
@@ -104,6 +107,7 @@
 		seeds:       options.Seeds,
 		interval:    orDefault(options.Interval, 500*time.Millisecond),
 		forgetAfter: orDefault(options.ForgetAfter, 10*time.Minute),
+		limits:      options.Limits.orDefaults(),
 		log:         options.Log,
 		handlers:    map[string]HandlerFunc{},
 		store:       newStore(options.Self.ID),
--- a/internal/host/attach.go
+++ b/internal/host/attach.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
+	"io"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -23,9 +24,12 @@
 	// announceExpiry is how long a server is kept without an announcement:
 	// three repeats of one second.
 	announceExpiry = 3500 * time.Millisecond
-	// maxAnnouncement bounds the body of an announcement in bytes.
-	maxAnnouncement = 4096
-	maxSlots        = 10_000
+	// standardMaxAnnouncement bounds the body of an announcement by default.
+	standardMaxAnnouncement = 4096
+	maxSlots                = 10_000
+	// maxWarmUp bounds the announced cold start. A larger number of milliseconds
+	// could overflow a time.Duration, and the end of the start would be lost.
+	maxWarmUp = 24 * time.Hour
 )
 
 // attached is a backend server beside this node. Its fields do not change; a
@@ -198,7 +202,7 @@
 }
 
 func (a *Attachments) serveAnnounce(w http.ResponseWriter, r *http.Request) {
-	announcement, err := decodeAnnouncement(w, r)
+	announcement, err := decodeAnnouncement(http.MaxBytesReader(w, r.Body, a.host.options.MaxAnnouncement))
 	if err != nil {
 		problem.Write(w, "", codes.Of(err))
 		return
@@ -216,9 +220,9 @@
 	_ = json.NewEncoder(w).Encode(reply)
 }
 
-func decodeAnnouncement(w http.ResponseWriter, r *http.Request) (api.Announcement, error) {
+func decodeAnnouncement(body io.Reader) (api.Announcement, error) {
 	var announcement api.Announcement
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	decoder := json.NewDecoder(body)
 	if err := decoder.Decode(&announcement); err != nil {
 		return announcement, codes.BadAnnouncement.Wrap(err, "the body is not an announcement")
 	}
@@ -233,11 +237,11 @@
 		return codes.BadAnnouncement.New("slots must be from 1 to %d", maxSlots)
 	case announcement.Incarnation == 0:
 		return codes.BadAnnouncement.New("incarnation must not be 0")
-	case announcement.WarmUpMS < 0:
-		return codes.BadAnnouncement.New("warm_up_ms must not be negative")
+	case announcement.WarmUpMS < 0 || announcement.WarmUpMS > maxWarmUp.Milliseconds():
+		return codes.BadAnnouncement.New("warm_up_ms must be from 0 to %d", maxWarmUp.Milliseconds())
 	}
-	host, _, err := net.SplitHostPort(announcement.Addr)
-	if err != nil || net.ParseIP(host) == nil {
+	addr, err := netip.ParseAddrPort(announcement.Addr)
+	if err != nil || addr.Port() == 0 {
 		return codes.BadAnnouncement.New("addr must be an IP address and a port")
 	}
 	return nil
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -44,6 +44,8 @@
 	Telemetry *telemetry.Telemetry
 	// BufferedAnswer is the largest answer in bytes that is read whole.
 	BufferedAnswer int64
+	// MaxAnnouncement bounds the body of an announcement in bytes. Default 4 KiB.
+	MaxAnnouncement int64
 	// FreezeThreshold is the age of the last control tick beyond which the host
 	// takes no work.
 	FreezeThreshold time.Duration
@@ -56,6 +58,8 @@
 	client   *http.Client
 	sequence atomic.Uint64
 	running  atomic.Int64
+	// unattended counts running requests whose entry no longer waits.
+	unattended atomic.Int64
 }
 
 // New returns a host without attached servers.
@@ -66,6 +70,9 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
+	if options.MaxAnnouncement <= 0 {
+		options.MaxAnnouncement = standardMaxAnnouncement
+	}
 	h := &Host{options: options}
 	h.client = &http.Client{Transport: transport, CheckRedirect: keepRedirect}
 	h.servers.Store(&map[string]*attached{})
@@ -79,6 +86,10 @@
 // their answer.
 func (h *Host) Running() int { return int(h.running.Load()) }
 
+// Unattended returns the number of running requests whose entry no longer
+// waits for the answer.
+func (h *Host) Unattended() int { return int(h.unattended.Load()) }
+
 // RunningByServer returns the running and queued requests of each attached server.
 func (h *Host) RunningByServer() map[string]int {
 	running := map[string]int{}
@@ -216,6 +227,8 @@
 }
 
 func (h *Host) closeLate(result <-chan *forward.Reply) {
+	h.unattended.Add(1)
+	defer h.unattended.Add(-1)
 	reply := <-result
 	if reply.Answer != nil {
 		h.options.Telemetry.Metrics.LateAnswers.Inc()
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -20,6 +20,7 @@
 		Traffic: n,
 		Store:   n.store,
 		Log:     n.telemetry.Log,
+		MaxBody: n.config.Limits.AdminBody,
 	}))
 	return router
 }
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -7,42 +7,34 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonford/tarragonford/internal/limit"
 	"github.com/tarragonford/tarragonford/internal/settings"
 )
 
-const (
-	// readHeaderTimeout ends connections whose request header does not arrive.
-	readHeaderTimeout = 10 * time.Second
-	// readTimeout ends connections whose request body does not arrive.
-	readTimeout = 60 * time.Second
-	// idleTimeout ends kept connections without requests. It exceeds the idle
-	// time of the clients in package forward, so that the client closes first.
-	idleTimeout = 120 * time.Second
-)
-
 // listeners are the five listeners of a node.
 type listeners struct {
 	caller, traffic, control, attach, admin net.Listener
 }
 
-func listen(config settings.Listen) (*listeners, error) {
+func listen(config settings.Listen, limits settings.Limits) (*listeners, error) {
 	l := &listeners{}
 	for _, one := range []struct {
 		addr   string
 		target *net.Listener
+		max    int
 	}{
-		{config.Caller, &l.caller},
-		{config.Traffic, &l.traffic},
-		{config.Control, &l.control},
-		{config.Attach, &l.attach},
-		{config.Admin, &l.admin},
+		{config.Caller, &l.caller, limits.CallerConnections},
+		{config.Traffic, &l.traffic, limits.TrafficConnections},
+		{config.Control, &l.control, limits.ControlConnections},
+		{config.Attach, &l.attach, limits.AttachConnections},
+		{config.Admin, &l.admin, limits.AdminConnections},
 	} {
 		listener, err := net.Listen("tcp", one.addr)
 		if err != nil {
 			l.close()
 			return nil, trace.Wrap(err, "listen on %s", one.addr)
 		}
-		*one.target = listener
+		*one.target = limit.Listener(listener, one.max)
 	}
 	return l, nil
 }
@@ -63,12 +55,16 @@
 	}
 }
 
-func newServer(handler http.Handler, headerBytes int) *http.Server {
+// newServer bounds the arrival of a request by the settings, and its answer by
+// writeTime from the arrival of its header.
+func newServer(handler http.Handler, limits settings.Limits, headerBytes int, writeTime time.Duration) *http.Server {
 	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
+		Handler:           limit.ResetOnAbort(handler),
+		ConnContext:       limit.ConnContext,
+		ReadHeaderTimeout: limits.HeaderTime,
+		ReadTimeout:       limits.HeaderTime + limits.BodyTime,
+		WriteTimeout:      writeTime,
+		IdleTimeout:       limits.IdleTime,
 		MaxHeaderBytes:    headerBytes,
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/tarragonford/tarragonford/internal/gossip"
 	"github.com/tarragonford/tarragonford/internal/host"
 	"github.com/tarragonford/tarragonford/internal/intentstore"
+	"github.com/tarragonford/tarragonford/internal/limit"
 	"github.com/tarragonford/tarragonford/internal/platform"
 	"github.com/tarragonford/tarragonford/internal/route"
 	"github.com/tarragonford/tarragonford/internal/settings"
@@ -50,17 +51,20 @@
 	// lifetime ends with the process; end ends it.
 	lifetime context.Context
 	end      context.CancelFunc
-	// inFlight counts callers' requests between arrival and the end of their answer.
-	inFlight atomic.Int64
+	// callers and hops count the requests of callers and of other nodes between
+	// arrival and the end of their answer.
+	callers, hops atomic.Int64
+	// bodies bounds the bodies of callers' requests.
+	bodies *limit.Bodies
 }
 
 // New builds a node and opens its listeners.
 func New(config settings.Node, t *telemetry.Telemetry) (*Node, error) {
-	l, err := listen(config.Listen)
+	l, err := listen(config.Listen, config.Limits)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	n := &Node{config: config, telemetry: t, listeners: l}
+	n := &Node{config: config, telemetry: t, listeners: l, bodies: limit.NewBodies(config.Limits.BodyMemory)}
 	n.lifetime, n.end = context.WithCancel(context.Background())
 	if err := n.build(); err != nil {
 		n.end()
@@ -82,7 +86,13 @@
 		Seeds:       n.config.Seeds,
 		Interval:    n.config.Timing.GossipInterval,
 		ForgetAfter: n.config.Timing.ForgetAfter,
-		Log:         n.telemetry.Log,
+		Limits: gossip.Limits{
+			MessageBytes: n.config.Limits.MessageBytes,
+			MessageTime:  n.config.Limits.MessageTime,
+			IdleTime:     n.config.Limits.IdleTime,
+			Connections:  n.config.Limits.ControlConnections,
+		},
+		Log: n.telemetry.Log,
 	})
 	if err != nil {
 		return trace.Wrap(err)
@@ -150,6 +160,7 @@
 		Telemetry:       n.telemetry,
 		BufferedAnswer:  n.config.Limits.BufferedAnswer,
 		FreezeThreshold: n.config.Timing.FreezeThreshold,
+		MaxAnnouncement: n.config.Limits.AnnouncementBytes,
 	})
 	n.entry = entry.New(entry.Options{
 		Viewer:          n.board,
@@ -162,6 +173,8 @@
 		Recent:          n.recent,
 		Paths:           detection,
 		MaxBody:         n.config.Limits.RequestBody,
+		BodyTime:        n.config.Limits.BodyTime,
+		AnswerGrace:     n.config.Limits.AnswerGrace,
 		MaxDeadline:     n.config.Limits.MaxDeadline,
 		KeyLifetime:     n.config.Timing.KeyLifetime,
 		FenceRetention:  n.config.Timing.FenceRetention,
@@ -182,27 +195,31 @@
 }
 
 func (n *Node) buildServers(attachments *host.Attachments) {
-	headerBytes := n.config.Limits.HeaderBytes
+	limits := n.config.Limits
+	requestTime := limits.BodyTime + limits.MaxDeadline + limits.AnswerGrace
 	traffic := &forward.Handler{
 		Token:     forward.Token(n.config.Secret),
-		MaxBody:   n.config.Limits.RequestBody,
+		MaxBody:   limits.RequestBody,
+		Grace:     limits.AnswerGrace,
 		Server:    n.host,
 		Telemetry: n.telemetry,
 	}
 	n.servers = []*http.Server{
-		newServer(n.counted(n.entry), headerBytes),
-		// A hop adds its own headers to those of the caller.
-		newServer(traffic, 2*headerBytes),
-		newServer(attachments.Handler(), headerBytes),
-		newServer(n.adminHandler(), headerBytes),
+		newServer(n.counted(&n.callers, n.bodies.Handler(n.entry)), limits, limits.HeaderBytes, requestTime),
+		// A hop adds its own headers to those of the caller. Its bodies have a
+		// bound of their own, so that callers cannot keep out the other nodes.
+		newServer(n.counted(&n.hops, limit.NewBodies(limits.BodyMemory).Handler(traffic)), limits, 2*limits.HeaderBytes, requestTime),
+		newServer(attachments.Handler(), limits, limits.HeaderBytes, limits.WriteTime),
+		newServer(n.adminHandler(), limits, limits.HeaderBytes, limits.WriteTime),
 	}
 }
 
-// counted counts the requests in flight, for the graceful stop.
-func (n *Node) counted(handler http.Handler) http.Handler {
+// counted counts the requests of a listener that are in flight, for the
+// graceful stop.
+func (n *Node) counted(inFlight *atomic.Int64, handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.inFlight.Add(1)
-		defer n.inFlight.Add(-1)
+		inFlight.Add(1)
+		defer inFlight.Add(-1)
 		handler.ServeHTTP(w, r)
 	})
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -45,7 +45,14 @@
 	n.reportCut()
 }
 
-func (n *Node) busy() bool { return n.inFlight.Load() > 0 || n.host.Running() > 0 }
+func (n *Node) busy() bool { return n.inProgress() > 0 || n.host.Running() > 0 }
+
+// inProgress returns the requests that a stop now would cut off. A request of a
+// caller that runs at a server of this node counts once, although both roles
+// hold it.
+func (n *Node) inProgress() int64 {
+	return n.callers.Load() + n.hops.Load() + int64(n.host.Unattended())
+}
 
 func (n *Node) publish(ctx context.Context, change func(*fleet.NodeRecord)) {
 	err := n.board.Call(ctx, func(e *blackboard.Entries) {
@@ -62,7 +69,7 @@
 // reportCut writes the last line of a stop, with the number of requests that
 // it cut off.
 func (n *Node) reportCut() {
-	cut := n.inFlight.Load() + int64(n.host.Running())
+	cut := n.inProgress()
 	n.telemetry.Metrics.CutOff.Add(cut)
 	n.telemetry.StateChange("node", "leaving", "stopped", zap.Int64("requests_cut", cut))
 }
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -95,6 +95,31 @@
 		field: func(n *Node) any { return &n.Limits.LedgerEntries }},
 	sizeKey("limits.ledger_bytes", mib, 16*gib, "Largest total size of the recorded answers.",
 		func(n *Node) any { return &n.Limits.LedgerBytes }),
+	sizeKey("limits.body_memory", mib, 64*gib, "Largest total size of the request bodies held at a time, for callers and for other nodes each. At least limits.request_body.",
+		func(n *Node) any { return &n.Limits.BodyMemory }),
+	sizeKey("limits.announcement_bytes", kib, 64*kib, "Largest announcement of a backend server.",
+		func(n *Node) any { return &n.Limits.AnnouncementBytes }),
+	sizeKey("limits.admin_body", 4*kib, 16*mib, "Largest request body of the administration API.",
+		func(n *Node) any { return &n.Limits.AdminBody }),
+	sizeKey("limits.message_bytes", 512*kib, 16*mib, "Largest message between nodes on control.",
+		func(n *Node) any { return &n.Limits.MessageBytes }),
+	durationKey("limits.header_time", 100*time.Millisecond, 5*time.Minute, "Time for a request header to arrive.",
+		func(n *Node) any { return &n.Limits.HeaderTime }),
+	durationKey("limits.body_time", 100*time.Millisecond, time.Hour, "Time for a request body to arrive. The deadline of the caller may end it sooner.",
+		func(n *Node) any { return &n.Limits.BodyTime }),
+	durationKey("limits.idle_time", 100*time.Second, time.Hour, "Time for which a connection without a request or message is kept. Longer than the 90s for which nodes keep theirs.",
+		func(n *Node) any { return &n.Limits.IdleTime }),
+	durationKey("limits.message_time", 100*time.Millisecond, time.Minute, "Time for a message on control to be sent or to arrive, and for its handshake.",
+		func(n *Node) any { return &n.Limits.MessageTime }),
+	durationKey("limits.answer_grace", 100*time.Millisecond, time.Minute, "Time after the deadline for which a receiver may take in its answer. After that the connection is reset.",
+		func(n *Node) any { return &n.Limits.AnswerGrace }),
+	durationKey("limits.write_time", time.Second, 10*time.Minute, "Time for a request on attach and admin to be answered.",
+		func(n *Node) any { return &n.Limits.WriteTime }),
+	connectionsKey("caller", func(n *Node) any { return &n.Limits.CallerConnections }),
+	connectionsKey("traffic", func(n *Node) any { return &n.Limits.TrafficConnections }),
+	connectionsKey("control", func(n *Node) any { return &n.Limits.ControlConnections }),
+	connectionsKey("attach", func(n *Node) any { return &n.Limits.AttachConnections }),
+	connectionsKey("admin", func(n *Node) any { return &n.Limits.AdminConnections }),
 	durationKey("limits.max_deadline", 100*time.Millisecond, time.Hour, "Longest deadline that a caller may ask for.",
 		func(n *Node) any { return &n.Limits.MaxDeadline }),
 
@@ -129,6 +154,12 @@
 	return key{path: path, kind: kindSize, min: float64(lowest), max: float64(highest), about: about, field: field}
 }
 
+// connectionsKey bounds the connections of one listener.
+func connectionsKey(listener string, field func(*Node) any) key {
+	return key{path: "limits." + listener + "_connections", kind: kindCount, min: 8, max: 1_000_000,
+		about: "Largest number of open connections on " + listener + ". Further ones are closed at once.", field: field}
+}
+
 // keyAt returns the key with the given dotted name.
 func keyAt(path string) (key, bool) {
 	for _, k := range schema {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,6 +74,35 @@
 	LedgerEntries int
 	// LedgerBytes bounds the bodies of recorded answers. Default 64 MiB.
 	LedgerBytes int64
+	// BodyMemory bounds the request bodies that are held at a time on caller,
+	// and on traffic, in bytes each. Default 128 MiB.
+	BodyMemory int64
+	// AnnouncementBytes is the largest announcement in bytes. Default 4 KiB.
+	AnnouncementBytes int64
+	// AdminBody is the largest body of the administration API in bytes. Default 1 MiB.
+	AdminBody int64
+	// MessageBytes is the largest message on control in bytes. The largest
+	// regular one, a digest of 6,000 nodes, has 420 KB. Default 1 MiB.
+	MessageBytes int
+	// HeaderTime bounds the arrival of a request header. Default 10s.
+	HeaderTime time.Duration
+	// BodyTime bounds the arrival of a request body. Default 50s.
+	BodyTime time.Duration
+	// IdleTime bounds the idle time of a kept connection. It exceeds that of
+	// the clients in packages forward and gossip, so that the client closes
+	// first and sends no request into a closing connection. Default 2m.
+	IdleTime time.Duration
+	// MessageTime bounds the sending or arrival of one message on control, and
+	// the handshake. Default 5s.
+	MessageTime time.Duration
+	// AnswerGrace is the time after the deadline of a request at which an answer
+	// that its receiver does not read is aborted. Default 2s.
+	AnswerGrace time.Duration
+	// WriteTime bounds the answer to a request on attach and admin. Default 1m.
+	WriteTime time.Duration
+	// The largest numbers of open connections of the listeners. Defaults 10000,
+	// 4096, 1024, 256 and 256.
+	CallerConnections, TrafficConnections, ControlConnections, AttachConnections, AdminConnections int
 	// MaxDeadline is the longest deadline a caller may ask for. Default 30s.
 	MaxDeadline time.Duration
 }
@@ -113,12 +142,27 @@
 	return Node{
 		Platform: Platform{Timeout: 2 * time.Second, PollInterval: 5 * time.Second},
 		Limits: Limits{
-			RequestBody:    1 << 20,
-			BufferedAnswer: 256 << 10,
-			HeaderBytes:    32 << 10,
-			LedgerEntries:  200_000,
-			LedgerBytes:    64 << 20,
-			MaxDeadline:    30 * time.Second,
+			RequestBody:        1 << 20,
+			BufferedAnswer:     256 << 10,
+			HeaderBytes:        32 << 10,
+			LedgerEntries:      200_000,
+			LedgerBytes:        64 << 20,
+			BodyMemory:         128 << 20,
+			AnnouncementBytes:  4 << 10,
+			AdminBody:          1 << 20,
+			MessageBytes:       1 << 20,
+			HeaderTime:         10 * time.Second,
+			BodyTime:           50 * time.Second,
+			IdleTime:           2 * time.Minute,
+			MessageTime:        5 * time.Second,
+			AnswerGrace:        2 * time.Second,
+			WriteTime:          time.Minute,
+			CallerConnections:  10_000,
+			TrafficConnections: 4096,
+			ControlConnections: 1024,
+			AttachConnections:  256,
+			AdminConnections:   256,
+			MaxDeadline:        30 * time.Second,
 		},
 		Timing: Timing{
 			GossipInterval:  500 * time.Millisecond,
