--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
-# Targets: build, test, lint, demo, soak, bench, convergence. README.md explains each.
+# Targets: build, test, lint, fuzz, demo, soak, bench, convergence. README.md explains each.
 BINARIES := tarragond tarragonctl tarragon-load tarragon-standin
 SEED ?= 1
 DURATION ?= 60s
+FUZZTIME ?= 20s
 DEPLOYMENT ?= trust
 NODES ?= 21
 
-.PHONY: all build test lint demo soak bench convergence bin/harness clean
+.PHONY: all build test lint fuzz demo soak bench convergence bin/harness clean
 
 all: build
 
@@ -25,6 +26,10 @@
 bin/harness: build
 	go build -o bin/harness ./test/harness
 
+# Every fuzz test, one after the other, for FUZZTIME each.
+fuzz:
+	FUZZTIME=$(FUZZTIME) scripts/fuzz.sh
+
 # Added latency and requests per core for one and two hops, beside a direct call.
 bench: bin/harness
 	bin/harness bench --seed $(SEED)
