--- a/internal/gossip/auth_test.go
+++ b/internal/gossip/auth_test.go
@@ -61,7 +61,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		rpc := jsonrpc2.NewConn(ctx, newStream(conn, &Traffic{}), refuseCalls{}, jsonrpc2.SetLogger(discardLogger{}))
+		rpc := jsonrpc2.NewConn(ctx, newStream(conn, &Traffic{}, Limits{}.orDefaults()), refuseCalls{}, jsonrpc2.SetLogger(discardLogger{}))
 		if err := before(rpc); err != nil {
 			t.Fatal(err)
 		}
@@ -77,7 +77,7 @@
 	go func() {
 		conn, err := listener.Accept()
 		if err == nil {
-			jsonrpc2.NewConn(ctx, newStream(conn, &Traffic{}), accepting{}, jsonrpc2.SetLogger(discardLogger{}))
+			jsonrpc2.NewConn(ctx, newStream(conn, &Traffic{}, Limits{}.orDefaults()), accepting{}, jsonrpc2.SetLogger(discardLogger{}))
 		}
 	}()
 	if _, err := good.CallAddr(ctx, listener.Addr().String(), methodProbe, probeParams{}, &result); err == nil {
--- a/internal/gossip/pool.go
+++ b/internal/gossip/pool.go
@@ -15,7 +15,7 @@
 	// dialTimeout bounds connecting and the handshake.
 	dialTimeout = 2 * time.Second
 	// idleOutbound closes an outgoing connection that carried no call for this
-	// long. It is below idleTimeout, so that the caller closes first.
+	// long. It is below Limits.IdleTime, so that the caller closes first.
 	idleOutbound = 90 * time.Second
 	// halfOpenAfter is the silence of a connection after which an unanswered call
 	// replaces it. With a shorter time, nodes that are merely slow make each
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := newStream(conn, &p.service.Traffic)
+	stream := newStream(conn, &p.service.Traffic, p.service.limits)
 	// The dialler bounds the handshake by its context. A deadline of the stream
 	// would stay armed on the read that is pending when the handshake ends.
 	stream.proven.Store(true)
