Copy only the changed maps of a configuration and benchmark capacity

Cause: fleet.Config.Apply copied all four maps for each change, on the control goroutine; beside 48,000 accounts a change of a service cost milliseconds. Change: the maps that no changed row belongs to are shared with the published configuration, which never changes. Ruled out: a persistent map for accounts, which is no small change. Conclusion: a change of an account still copies the accounts.

--- /dev/null
+++ b/internal/blackboard/capacity_test.go
@@ -0,0 +1,177 @@
+package blackboard
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/tarragonford/tarragonford/internal/fleet"
+)
+
+// accountRows returns rows of client accounts at the given version.
+func accountRows(count int, version uint64) []fleet.Row {
+	rows := make([]fleet.Row, count)
+	for i := range rows {
+		id := fmt.Sprintf("account-%05d", i)
+		value, _ := json.Marshal(fleet.Account{ID: id, Weight: 1})
+		rows[i] = fleet.Row{Key: fleet.PrefixAccount + id, Version: version, Value: value}
+	}
+	return rows
+}
+
+func routeRows(count int, version uint64) []fleet.Row {
+	rows := make([]fleet.Row, count)
+	for i := range rows {
+		route := fleet.Route{ID: fmt.Sprintf("route-%04d", i), Prefix: fmt.Sprintf("/p%d/", i), Service: serviceName(i % 270)}
+		value, _ := json.Marshal(route)
+		rows[i] = fleet.Row{Key: fleet.PrefixRoute + route.ID, Version: version, Value: value}
+	}
+	return rows
+}
+
+// BenchmarkSnapshotConfigured is a snapshot after one changed node record at
+// 5,300 servers, by the number of configuration rows.
+func BenchmarkSnapshotConfigured(b *testing.B) {
+	for _, accounts := range []int{480, 4_800, 48_000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			e := benchEntries(5300)
+			e.ApplyConfig(2, append(accountRows(accounts, 2), routeRows(accounts/9, 2)...))
+			now := time.Unix(1000, 0)
+			e.snapshot(now)
+			b.ReportAllocs()
+			for b.Loop() {
+				e.UpdateSelf(func(r *fleet.NodeRecord) bool {
+					r.Servers[0].Observed.Median++
+					return true
+				})
+				e.snapshot(now)
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshotAllChanged is a snapshot after one server of every node
+// changed, with eleven servers on each node and with one.
+func BenchmarkSnapshotAllChanged(b *testing.B) {
+	for _, servers := range []int{21, 500, 5300} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			e := benchEntries(servers)
+			now := time.Unix(1000, 0)
+			e.snapshot(now)
+			sequence := uint64(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				sequence++
+				for _, known := range e.nodes {
+					if known.ID == e.self.ID {
+						continue
+					}
+					record := known.Clone()
+					record.Version.Sequence = sequence
+					e.PutNode(record)
+				}
+				e.snapshot(now)
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshotOneServerNodes is a snapshot after one changed record with
+// one server on each node, as with one node in the slot of each instance.
+func BenchmarkSnapshotOneServerNodes(b *testing.B) {
+	for _, nodes := range []int{21, 500, 5300} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			e := oneServerEntries(nodes)
+			now := time.Unix(1000, 0)
+			e.snapshot(now)
+			b.ReportAllocs()
+			for b.Loop() {
+				e.UpdateSelf(func(r *fleet.NodeRecord) bool {
+					r.Servers[0].Observed.Median++
+					return true
+				})
+				e.snapshot(now)
+			}
+		})
+	}
+}
+
+func oneServerEntries(nodes int) *Entries {
+	services := max(nodes/20, 1)
+	server := func(i int) []fleet.ServerRecord {
+		return []fleet.ServerRecord{{ID: fmt.Sprintf("s%04d", i), Service: serviceName(i % services), Slots: 6, Health: fleet.Healthy}}
+	}
+	e := newEntries(fleet.NodeRecord{ID: "n0000", Servers: server(0)})
+	for i := 1; i < nodes; i++ {
+		e.PutNode(&fleet.NodeRecord{ID: fmt.Sprintf("n%04d", i), Version: fleet.Version{Sequence: 1}, Servers: server(i)})
+	}
+	return e
+}
+
+// BenchmarkApplyConfigRow puts one changed account in force at 5,300 servers
+// and publishes a snapshot, by the number of accounts.
+func BenchmarkApplyConfigRow(b *testing.B) {
+	for _, accounts := range []int{480, 4_800, 48_000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			e := benchEntries(5300)
+			e.ApplyConfig(2, append(accountRows(accounts, 2), routeRows(accounts/9, 2)...))
+			now := time.Unix(1000, 0)
+			e.snapshot(now)
+			version := uint64(2)
+			b.ReportAllocs()
+			for b.Loop() {
+				version++
+				e.ApplyConfig(version, accountRows(1, version))
+				e.snapshot(now)
+			}
+		})
+	}
+}
+
+// BenchmarkViewMemory reports the heap of the entries and the view by server,
+// BenchmarkConfigMemory that of rows and decoded configuration by row.
+func BenchmarkViewMemory(b *testing.B) {
+	for _, servers := range []int{500, 2500, 5300} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			benchHeap(b, servers, func() any {
+				e := benchEntries(servers)
+				view, _ := e.snapshot(time.Unix(1000, 0))
+				return []any{e, view}
+			})
+		})
+	}
+}
+
+func BenchmarkConfigMemory(b *testing.B) {
+	for _, accounts := range []int{480, 4_800, 48_000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			benchHeap(b, accounts+accounts/9, func() any {
+				e := newEntries(fleet.NodeRecord{ID: "n000"})
+				e.ApplyConfig(2, append(accountRows(accounts, 2), routeRows(accounts/9, 2)...))
+				view, _ := e.snapshot(time.Unix(1000, 0))
+				return []any{e, view}
+			})
+		})
+	}
+}
+
+// benchHeap reports the heap that the result of build keeps, for each record.
+func benchHeap(b *testing.B, records int, build func() any) {
+	var kept any
+	before := heapInUse()
+	for b.Loop() {
+		kept = build()
+	}
+	b.ReportMetric((heapInUse()-before)/float64(records), "heap-B/record")
+	runtime.KeepAlive(kept)
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
--- a/internal/fleet/decode.go
+++ b/internal/fleet/decode.go
@@ -10,17 +10,15 @@
 // do not decode: a row that one version of the program cannot read must not
 // take the others out of force. The keys of these are returned.
 func (c *Config) Apply(version uint64, rows []Row) (*Config, []string) {
-	next := c.clone()
+	next := c.cloneFor(rows)
 	next.Version = version
 	var unreadable []string
-	routesChanged := false
 	for _, row := range rows {
 		if !next.applyRow(row) {
 			unreadable = append(unreadable, row.Key)
 		}
-		routesChanged = routesChanged || strings.HasPrefix(row.Key, PrefixRoute)
 	}
-	if routesChanged {
+	if anyHasPrefix(rows, PrefixRoute) {
 		next.Index = NewRouteIndex(next.Routes)
 	}
 	return next, unreadable
@@ -57,15 +55,33 @@
 	return true
 }
 
-func (c *Config) clone() *Config {
-	return &Config{
-		Version:     c.Version,
-		Services:    cloneMap(c.Services),
-		Routes:      cloneMap(c.Routes),
-		Accounts:    cloneMap(c.Accounts),
-		Withdrawals: cloneMap(c.Withdrawals),
-		Index:       c.Index,
+// cloneFor returns a copy of c in which the maps that rows change are copied.
+// The others are shared: published maps never change, and a copy of the 48,000
+// accounts takes the control goroutine several milliseconds.
+func (c *Config) cloneFor(rows []Row) *Config {
+	next := *c
+	if anyHasPrefix(rows, PrefixService) {
+		next.Services = cloneMap(c.Services)
 	}
+	if anyHasPrefix(rows, PrefixRoute) {
+		next.Routes = cloneMap(c.Routes)
+	}
+	if anyHasPrefix(rows, PrefixAccount) {
+		next.Accounts = cloneMap(c.Accounts)
+	}
+	if anyHasPrefix(rows, PrefixWithdrawal) {
+		next.Withdrawals = cloneMap(c.Withdrawals)
+	}
+	return &next
+}
+
+func anyHasPrefix(rows []Row, prefix string) bool {
+	for _, row := range rows {
+		if strings.HasPrefix(row.Key, prefix) {
+			return true
+		}
+	}
+	return false
 }
 
 func cloneMap[T any](values map[string]T) map[string]T {
