Close every gate until controllers ran, and wire account rates

Cause: the first view of a node was ready before its controllers had closed their gates, the membership gate was used by measurements only, and the rate of client accounts was configured but not applied. Change: a start gate, the membership gate in the node, AccountLimiter at the entry; callers without an account share the queue by their address. Ruled out: closing each gate in its constructor, which controllers added later would have to remember.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -18,6 +18,10 @@
 	maxBatch = 256
 )
 
+// gateStart is closed until every controller has run once, because a gate that
+// a controller keeps closed is open before its first step.
+const gateStart = "start"
+
 // Controller reads and writes entries. Step runs on the control goroutine and
 // must not block.
 type Controller interface {
@@ -127,6 +131,7 @@
 	for _, controller := range b.controllers {
 		controller.Step(now, b.entries)
 	}
+	b.entries.SetGate(gateStart, true)
 	b.publish(now)
 	b.lastTick.Store(int64(time.Since(b.started)))
 }
--- a/internal/blackboard/entries.go
+++ b/internal/blackboard/entries.go
@@ -40,7 +40,7 @@
 		pathDown:   [pathSources]map[string]bool{{}, {}},
 		rows:       map[string]fleet.Row{},
 		config:     fleet.EmptyConfig(),
-		closed:     map[string]bool{},
+		closed:     map[string]bool{gateStart: true},
 		services:   map[string]*fleet.ServiceView{},
 		dirty:      map[string]bool{},
 		changed:    true,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/tarragonford/tarragonford/api"
+	"github.com/tarragonford/tarragonford/internal/admit"
 	"github.com/tarragonford/tarragonford/internal/atmostonce"
 	"github.com/tarragonford/tarragonford/internal/codes"
 	"github.com/tarragonford/tarragonford/internal/detect"
@@ -39,6 +40,8 @@
 	Fencer   Fencer
 	Signer   *atmostonce.Signer
 	Claims   *Claims
+	// Accounts limits the rate of client accounts.
+	Accounts *admit.AccountLimiter
 	// Recent takes the callers and accounts of each service.
 	Recent *Recent
 	// Paths takes evidence about the paths to host nodes.
@@ -151,6 +154,7 @@
 		Path:      r.URL.RequestURI(),
 		Header:    r.Header,
 		CallerKey: r.Header.Get(api.HeaderIdempotencyKey),
+		Caller:    hostName(r.RemoteAddr),
 	}
 	if err := e.ready(x.view); err != nil {
 		return x, err
@@ -197,6 +201,9 @@
 	if account.Weight > 0 {
 		x.request.Weight = account.Weight
 	}
+	if account.RatePerSecond > 0 {
+		return x.entry.options.Accounts.Allow(x.started, id, account.RatePerSecond)
+	}
 	return nil
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/tarragonford/tarragonford/api"
 	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/platform"
 )
@@ -122,6 +123,21 @@
 		gomega.Expect(code(response)).To(gomega.Equal(strconv.Itoa(codes.BodyTooLarge.Number)))
 	})
 
+	// Guards against one account that takes the capacity of all others.
+	ginkgo.It("refuses an account above its rate", func() {
+		w := newWorld(fateAnswer, fateAnswer, fateAnswer)
+		w.view.Config.Accounts = map[string]fleet.Account{"a": {ID: "a", RatePerSecond: 0.001}}
+		node := w.entry(w.host)
+		var last *httptest.ResponseRecorder
+		for range 3 {
+			request := httptest.NewRequest(http.MethodGet, "/s/x", nil)
+			request.Header.Set(api.HeaderAccount, "a")
+			last = httptest.NewRecorder()
+			node.ServeHTTP(last, request)
+		}
+		gomega.Expect(last.Header().Get(api.HeaderCode)).To(gomega.Equal(strconv.Itoa(codes.AccountLimit.Number)))
+	})
+
 	ginkgo.It("refuses while the node is not ready", func() {
 		w := newWorld(fateAnswer)
 		w.view.Ready = false
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/tarragonford/tarragonford/internal/admit"
 	"github.com/tarragonford/tarragonford/internal/atmostonce"
 	"github.com/tarragonford/tarragonford/internal/codes"
 	"github.com/tarragonford/tarragonford/internal/detect"
@@ -164,6 +165,7 @@
 		Signer:          atmostonce.NewSigner("secret"),
 		Claims:          entry.NewClaims(w.store),
 		Recent:          entry.NewRecent(),
+		Accounts:        admit.NewAccountLimiter(100),
 		Paths:           noPaths{},
 		Telemetry:       telemetry.Discard(),
 		MaxBody:         1 << 10,
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -32,6 +32,7 @@
 	headerKey         = headerPrefix + "Key"
 	headerCallerKey   = headerPrefix + "Caller-Key"
 	headerAccount     = headerPrefix + "Account"
+	headerCaller      = headerPrefix + "Caller"
 	headerWeight      = headerPrefix + "Weight"
 	headerDeadline    = headerPrefix + "Deadline-Us"
 	headerStatus      = headerPrefix + "Status"
@@ -98,6 +99,7 @@
 	setIfPresent(h, headerKey, r.Key)
 	setIfPresent(h, headerCallerKey, r.CallerKey)
 	setIfPresent(h, headerAccount, r.Account)
+	setIfPresent(h, headerCaller, r.Caller)
 	if r.Weight != 0 {
 		h.Set(headerWeight, strconv.FormatFloat(r.Weight, 'g', -1, 64))
 	}
@@ -121,6 +123,7 @@
 		Key:        h.Get(headerKey),
 		CallerKey:  h.Get(headerCallerKey),
 		Account:    h.Get(headerAccount),
+		Caller:     h.Get(headerCaller),
 		Header:     http.Header{},
 	}
 	if r.ID == "" || r.Server == "" || r.Method == "" || !strings.HasPrefix(r.Path, "/") {
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -30,8 +30,10 @@
 	Key string
 	// CallerKey is the key as the caller sent it, passed on to the server.
 	CallerKey string
-	// Account and Weight decide the share of the queue.
+	// Account and Weight decide the share of the queue. Requests without an
+	// account share by Caller, the IP address of the caller.
 	Account string
+	Caller  string
 	Weight  float64
 	// Deadline is the time until which the caller waits.
 	Deadline time.Time
@@ -42,6 +44,14 @@
 	return "r/" + r.ID + "/" + strconv.Itoa(r.Attempt)
 }
 
+// ShareKey returns what the fair shares of the queue are divided by.
+func (r *Request) ShareKey() string {
+	if r.Account != "" {
+		return "account/" + r.Account
+	}
+	return "caller/" + r.Caller
+}
+
 // Load is the load of a backend server as its host counts it.
 type Load struct {
 	Running int `json:"running"`
--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -25,7 +25,7 @@
 func (h *Host) admitAndSend(ctx context.Context, server *attached, r *forward.Request, claim *atmostonce.Claim) *forward.Reply {
 	metrics := h.options.Telemetry.Metrics
 	arrived := time.Now()
-	permit, err := server.admit.Admit(ctx, r.Account, r.Weight, r.Deadline)
+	permit, err := server.admit.Admit(ctx, r.ShareKey(), r.Weight, r.Deadline)
 	metrics.AdmissionTime.Record(time.Since(arrived))
 	if err != nil {
 		return forward.Refuse(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/tarragonford/tarragonford/internal/admit"
 	"github.com/tarragonford/tarragonford/internal/atmostonce"
 	"github.com/tarragonford/tarragonford/internal/blackboard"
 	"github.com/tarragonford/tarragonford/internal/confsync"
@@ -29,6 +30,10 @@
 	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
+// maxLimitedAccounts bounds the accounts whose rate one node tracks, twice the
+// 48,000 of the size to design for.
+const maxLimitedAccounts = 96_000
+
 // sweepInterval is the time between two removals of expired ledger records and
 // of the load of servers that are gone.
 const sweepInterval = 10 * time.Second
@@ -173,6 +178,7 @@
 		Signer:          signer,
 		Claims:          entry.NewClaims(n.store),
 		Recent:          n.recent,
+		Accounts:        admit.NewAccountLimiter(maxLimitedAccounts),
 		Paths:           n.detection,
 		MaxBody:         n.config.Limits.RequestBody,
 		BodyTime:        n.config.Limits.BodyTime,
@@ -186,7 +192,7 @@
 	attachments := host.NewAttachments(n.host, n.board)
 	n.board.Add(
 		attachments,
-		controller.NewMembership(n.gossip),
+		controller.NewMembership(n.gossip).WithGate(n.config.Timing.FreezeThreshold),
 		controller.NewConfiguration(n.syncer, n.config.Timing.FreezeThreshold),
 		n.detection,
 		controller.NewEjection(n.reportStanding),
