Share the plumbing of the commands, and count platform calls and ticks

Cause: three commands repeated the report of errors and the server that ends with a signal; metrics of platform calls and control ticks were never counted.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 DEPLOYMENT ?= trust
 NODES ?= 21
 
-.PHONY: all build test lint fuzz demo soak bench convergence bin/harness clean
+.PHONY: all build test lint demo soak soak-short bench convergence fuzz bin/harness
 
 all: build
 
@@ -43,6 +43,10 @@
 soak: bin/harness
 	bin/harness soak --deployment $(DEPLOYMENT) --seed $(SEED) --duration $(DURATION)
 
+# Short soaks with fixed seeds, for CI.
+soak-short: bin/harness
+	scripts/soak-short.sh
+
 # Time from approval to in force everywhere, and the cost of control of a node.
 convergence: bin/harness
 	bin/harness convergence --nodes $(NODES)
--- a/cmd/tarragon-load/main.go
+++ b/cmd/tarragon-load/main.go
@@ -9,12 +9,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/tarragonford/tarragonford/internal/buildinfo"
-)
-
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
+	"github.com/tarragonford/tarragonford/internal/cli"
 )
 
 type options struct {
@@ -50,17 +45,8 @@
 // exitCode prints err and returns the exit code of the process. The output of
 // compare ends with its verdict, so errFaulty prints nothing.
 func exitCode(err error) int {
-	var flagsError *flags.Error
-	if errors.As(err, &flagsError) {
-		if flagsError.Type == flags.ErrHelp {
-			fmt.Println(flagsError.Message)
-			return 0
-		}
-		fmt.Fprintln(os.Stderr, flagsError.Message)
-		return exitUsage
-	}
-	if !errors.Is(err, errFaulty) {
-		fmt.Fprintln(os.Stderr, "tarragon-load:", err)
+	if errors.Is(err, errFaulty) {
+		return cli.ExitFailure
 	}
-	return exitFailure
+	return cli.Report("tarragon-load", err)
 }
--- a/cmd/tarragon-load/relay.go
+++ b/cmd/tarragon-load/relay.go
@@ -1,24 +1,16 @@
 package main
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"net"
-	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonford/tarragonford/internal/cli"
 	"github.com/tarragonford/tarragonford/internal/relay"
 )
 
-// headerTimeout bounds the header of a control request.
-const headerTimeout = 10 * time.Second
-
 // relayCommand holds the options of "tarragon-load relay".
 type relayCommand struct {
 	Listen  string        `long:"listen" required:"yes" value-name:"ADDR" description:"address that takes connections"`
@@ -44,17 +36,5 @@
 		return trace.Wrap(err)
 	}
 	fmt.Printf("tarragon-load: relay %s -> %s, control %s\n", r.Addr(), c.Target, control.Addr())
-	return serveControl(control, r.Handler())
-}
-
-// serveControl serves until SIGTERM or SIGINT.
-func serveControl(listener net.Listener, handler http.Handler) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	context.AfterFunc(ctx, func() { server.Close() })
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return trace.Wrap(err)
-	}
-	return nil
+	return trace.Wrap(cli.ServeUntilSignal(control, r.Handler()))
 }
--- a/cmd/tarragon-standin/main.go
+++ b/cmd/tarragon-standin/main.go
@@ -3,19 +3,13 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/tarragonford/tarragonford/internal/buildinfo"
-)
-
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
+	"github.com/tarragonford/tarragonford/internal/cli"
 )
 
 type options struct {
@@ -49,20 +43,6 @@
 		}
 	}
 	if _, err := parser.Parse(); err != nil {
-		os.Exit(report(err))
-	}
-}
-
-func report(err error) int {
-	var flagsError *flags.Error
-	if errors.As(err, &flagsError) {
-		if flagsError.Type == flags.ErrHelp {
-			fmt.Println(flagsError.Message)
-			return 0
-		}
-		fmt.Fprintln(os.Stderr, flagsError.Message)
-		return exitUsage
+		os.Exit(cli.Report("tarragon-standin", err))
 	}
-	fmt.Fprintln(os.Stderr, "tarragon-standin:", err)
-	return exitFailure
 }
--- a/cmd/tarragon-standin/platform.go
+++ b/cmd/tarragon-standin/platform.go
@@ -2,22 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
-	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
+	"github.com/tarragonford/tarragonford/internal/cli"
 	"github.com/tarragonford/tarragonford/internal/platform"
 	"github.com/tarragonford/tarragonford/internal/seed"
 )
 
-// platformStopLimit bounds the graceful stop of the platform stand-in.
-const platformStopLimit = 5 * time.Second
-
 // platformCommand serves the platform from memory until SIGTERM or SIGINT.
 type platformCommand struct {
 	Listen string  `long:"listen" default:"127.0.0.1:7600" description:"host:port to serve on"`
@@ -38,7 +30,7 @@
 		return err
 	}
 	fmt.Println("tarragon-standin: platform listens on", listener.Addr())
-	return serveUntilSignal(listener, platform.NewHandler(limited, limited, platform.NewFaults()))
+	return cli.ServeUntilSignal(listener, platform.NewHandler(limited, limited, platform.NewFaults()))
 }
 
 func (c *platformCommand) fill(memory *platform.Memory) error {
@@ -51,20 +43,3 @@
 	}
 	return seed.Apply(context.Background(), memory, file)
 }
-
-func serveUntilSignal(listener net.Listener, handler http.Handler) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
-	stopped := make(chan error, 1)
-	go func() {
-		<-ctx.Done()
-		limit, cancelLimit := context.WithTimeout(context.Background(), platformStopLimit)
-		defer cancelLimit()
-		stopped <- server.Shutdown(limit)
-	}()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return <-stopped
-}
--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,21 +11,16 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/tarragonford/tarragonford/internal/buildinfo"
+	"github.com/tarragonford/tarragonford/internal/cli"
 	"github.com/tarragonford/tarragonford/internal/node"
 	"github.com/tarragonford/tarragonford/internal/settings"
 	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
-
 func main() {
 	var overrides settings.Overrides
 	if _, err := flags.NewParser(&overrides, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
-		os.Exit(usage(err))
+		os.Exit(cli.Report("tarragond", err))
 	}
 	switch {
 	case overrides.Version:
@@ -38,22 +32,12 @@
 	config, err := overrides.Load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitUsage)
+		os.Exit(cli.ExitUsage)
 	}
 	if err := run(config); err != nil {
 		fmt.Fprintln(os.Stderr, "tarragond:", err)
-		os.Exit(exitFailure)
-	}
-}
-
-func usage(err error) int {
-	var flagsError *flags.Error
-	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
-		fmt.Println(flagsError.Message)
-		return 0
+		os.Exit(cli.ExitFailure)
 	}
-	fmt.Fprintln(os.Stderr, err)
-	return exitUsage
 }
 
 // run serves until the first SIGTERM or SIGINT, which starts a graceful stop.
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -33,6 +33,9 @@
 
 // Board owns the control state of one node.
 type Board struct {
+	// OnTick, if set before Run, is called with the time that each tick took.
+	OnTick func(time.Duration)
+
 	entries     *Entries
 	controllers []Controller
 	posts       chan func(*Entries)
@@ -133,6 +136,9 @@
 	}
 	b.entries.SetGate(gateStart, true)
 	b.publish(now)
+	if b.OnTick != nil {
+		b.OnTick(time.Since(now))
+	}
 	b.lastTick.Store(int64(time.Since(b.started)))
 }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -18,7 +18,7 @@
 		Engine:  n.engine,
 		Views:   n.board,
 		Traffic: n,
-		Store:   n.store,
+		Store:   n.client,
 		Log:     n.telemetry.Log,
 		MaxBody: n.config.Limits.AdminBody,
 	}))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,7 +51,8 @@
 	engine    *intentstore.Engine
 	detection *controller.Detection
 	gossip    *gossip.Service
-	store     *platform.Client
+	client    *platform.Client
+	store     platform.Store
 	syncer    *confsync.Syncer
 	directory *confsync.Directory
 	servers   []*http.Server
@@ -84,7 +85,9 @@
 func (n *Node) build() error {
 	self := n.firstRecord()
 	n.board = blackboard.New(self)
-	n.store = platform.NewClient(n.config.Platform.URL, platform.ClientOptions{Timeout: n.config.Platform.Timeout})
+	n.client = platform.NewClient(n.config.Platform.URL, platform.ClientOptions{Timeout: n.config.Platform.Timeout})
+	n.store = &countedStore{store: n.client, metrics: n.telemetry.Metrics}
+	n.board.OnTick = n.telemetry.Metrics.TickTime.Record
 	var err error
 	n.gossip, err = gossip.New(gossip.Options{
 		Self:        self,
--- a/test/harness/main.go
+++ b/test/harness/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 
+	"github.com/gravitational/trace"
 	"github.com/jessevdk/go-flags"
 )
 
@@ -31,6 +32,14 @@
 	}
 }
 
+// Exit codes.
+const (
+	// exitViolated says that a property was violated.
+	exitViolated = 1
+	// exitNotRun says that the run could not be carried out.
+	exitNotRun = 3
+)
+
 func exitCode(err error) int {
 	var flagsError *flags.Error
 	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
@@ -38,5 +47,8 @@
 		return 0
 	}
 	fmt.Fprintln(os.Stderr, "harness:", err)
-	return 1
+	if trace.IsCompareFailed(err) {
+		return exitViolated
+	}
+	return exitNotRun
 }
