--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -115,34 +114,6 @@
 	f.instances = append(f.instances, i)
 }
 
-// handedOut are the ports that freePorts returned before. They may not be bound
-// yet, so the kernel could offer them again.
-var handedOut = map[int]bool{}
-
-// freePorts asks the kernel for ports that are free now.
-func freePorts(count int) ([]int, error) {
-	var held []net.Listener
-	defer func() {
-		for _, listener := range held {
-			listener.Close()
-		}
-	}()
-	var ports []int
-	for len(ports) < count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		held = append(held, listener)
-		port := listener.Addr().(*net.TCPAddr).Port
-		if !handedOut[port] {
-			handedOut[port] = true
-			ports = append(ports, port)
-		}
-	}
-	return ports, nil
-}
-
 func (f *fleet) assignPorts() error {
 	ports, err := freePorts(1 + 6*len(f.instances))
 	if err != nil {
