Do not call a key lost before the host's new start is known here

Cause: a key that a node issued after a host's restart was called lost by a node that still had the host's old record, although the host was there. Change: only a later incarnation of the host makes a key lost; otherwise the host is fenced through nodes that know it, and the outcome stays open. Ruled out: waiting for gossip, because the caller's deadline is shorter. Measured: the new test fails with the old rule; tests of entry pass.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -6,12 +6,14 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"github.com/tarragonford/tarragonford/api"
+	"github.com/tarragonford/tarragonford/internal/atmostonce"
 	"github.com/tarragonford/tarragonford/internal/codes"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/forward"
@@ -156,6 +158,39 @@
 	})
 })
 
+var _ = ginkgo.Describe("a key that a node issued", func() {
+	issue := func(w *world, incarnation uint64) http.Header {
+		key := atmostonce.NewSigner("secret").Issue(atmostonce.Key{
+			Service: "s", Host: "n", HostIncarnation: incarnation, Server: "b0", ServerIncarnation: 1,
+			ExpiresMS: time.Now().Add(time.Minute).UnixMilli(), Nonce: atmostonce.NewNonce(),
+		})
+		return http.Header{api.HeaderIdempotencyKey: {key}}
+	}
+
+	ginkgo.It("runs at the host that it is bound to", func() {
+		w := newWorld(fateAnswer)
+		gomega.Expect(w.send(http.MethodPost, "/s/x", issue(w, 1)).StatusCode).To(gomega.Equal(http.StatusOK))
+	})
+
+	ginkgo.It("is lost with the incarnation of the host", func() {
+		w := newWorld(fateAnswer)
+		w.view.Self.Version.Incarnation = 2
+		response := w.send(http.MethodPost, "/s/x", issue(w, 1))
+		gomega.Expect(code(response)).To(gomega.Equal(strconv.Itoa(codes.KeyHostLost.Number)))
+		gomega.Expect(outcome(response)).To(gomega.Equal(string(codes.Unknown)))
+	})
+
+	// The key came through a node that heard of the host's new start sooner. To
+	// call it lost would send the caller away from a host that is there.
+	ginkgo.It("is not called lost before this node knows the incarnation", func() {
+		w := newWorld(fateAnswer)
+		response := w.send(http.MethodPost, "/s/x", issue(w, 7))
+		gomega.Expect(code(response)).To(gomega.Equal(strconv.Itoa(codes.HostUnreachable.Number)))
+		gomega.Expect(outcome(response)).To(gomega.Equal(string(codes.Unknown)))
+		gomega.Expect(w.host.runs).To(gomega.BeZero())
+	})
+})
+
 // downStore is a platform that does not answer.
 type downStore struct{ platform.Store }
 
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -35,29 +35,42 @@
 	return x.sendKeyed(ctx, key)
 }
 
+// sendKeyed sends the request to the host of the key, or learns from a fence
+// what became of it. A host that this node does not know yet may well be
+// there: the key came from a node that knew it.
 func (x *exchange) sendKeyed(ctx context.Context, key atmostonce.Key) *forward.Reply {
 	host, ok := x.view.Nodes[key.Host]
-	if !ok || host.Version.Incarnation != key.HostIncarnation {
-		return forward.Refuse(codes.KeyHostLost.New("host %s has no incarnation %d", key.Host, key.HostIncarnation))
+	if ok && host.Version.Incarnation > key.HostIncarnation {
+		return forward.Refuse(codes.KeyHostLost.New("host %s has a later incarnation than %d", key.Host, key.HostIncarnation))
 	}
+	reply := forward.Refuse(codes.HostUnreachable.New("host %s is not known here yet", key.Host))
+	if ok && host.Version.Incarnation == key.HostIncarnation {
+		reply = x.sendBound(ctx, host, key)
+	}
+	if reply.Err != nil && !reply.Fenced && !final(reply.Err) {
+		reply = x.resolve(ctx, fenceTarget(key), reply)
+	}
+	x.fenced = reply.Fenced
+	return reply
+}
+
+// sendBound sends the one attempt that a key allows.
+func (x *exchange) sendBound(ctx context.Context, host *fleet.NodeRecord, key atmostonce.Key) *forward.Reply {
+	x.request.Attempt = 1
 	attempt := x.request
-	attempt.Attempt = 1
 	attempt.Server = key.Server
 	attempt.ServerIncarnation = key.ServerIncarnation
-	x.request.Attempt = 1
-	reply := x.send(ctx, host, &attempt)
-	x.fenced = reply.Fenced
-	if reply.Err == nil || reply.Fenced || final(reply.Err) {
-		return reply
-	}
-	reply = x.resolve(ctx, atmostonce.FenceTarget{
+	return x.send(ctx, host, &attempt)
+}
+
+// fenceTarget names the request with the key at its host.
+func fenceTarget(key atmostonce.Key) atmostonce.FenceTarget {
+	return atmostonce.FenceTarget{
 		Host:            key.Host,
 		HostIncarnation: key.HostIncarnation,
 		ID:              key.LedgerID(),
 		Expires:         key.Expires(),
-	}, reply)
-	x.fenced = reply.Fenced
-	return reply
+	}
 }
 
 // final reports whether a refusal of a keyed request holds for the key as well.
