Apply a changed queue factor to attached servers

Cause: the queue length of a service was read when a server attached, so an approved change of limits was not in force for servers that stay attached. Change: the attachments controller hands the factor to each admitter. Ruled out: a new admitter for each change, which would lose waiting requests. Measured: the new test of the queue passes; tests of admit and host pass.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -279,3 +279,23 @@
 		}
 	})
 }
+
+// Guards against a configured queue length that applies only to servers that
+// are attached later.
+func TestQueueFactorChangesAtOnce(t *testing.T) {
+	q := admit.NewQueue(1, 1, func(*admit.Waiter, *codes.Error) {})
+	now := time.Unix(0, 0)
+	deadline := now.Add(time.Hour)
+	if started, err := q.TryStart(now, deadline); !started || err != nil {
+		t.Fatalf("the free slot was not given: %v", err)
+	}
+	q.SetFactor(3)
+	for n := range 3 {
+		if _, err := q.Wait(now, "a", 1, deadline, nil); err != nil {
+			t.Fatalf("place %d of 3 was refused: %v", n+1, err)
+		}
+	}
+	if _, err := q.Wait(now, "a", 1, deadline, nil); err == nil {
+		t.Fatal("a fourth request waits")
+	}
+}
--- a/internal/admit/admitter.go
+++ b/internal/admit/admitter.go
@@ -161,6 +161,14 @@
 	return a.queue.Queued()
 }
 
+// SetQueueFactor changes the queue factor; 0 or less stands for
+// DefaultQueueFactor.
+func (a *Admitter) SetQueueFactor(factor float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.SetFactor(factor)
+}
+
 // SetSlots changes the number of slots when the server announces another one.
 func (a *Admitter) SetSlots(slots int) {
 	now := a.now()
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -50,10 +50,7 @@
 // factor of 0 or less stands for DefaultQueueFactor. Notify is called during
 // Offer, Finish, Expire, Close and SetSlots, and must not call the queue.
 func NewQueue(slots int, factor float64, notify Notify) *Queue {
-	if factor <= 0 {
-		factor = DefaultQueueFactor
-	}
-	return &Queue{slots: max(slots, 1), factor: factor, notify: notify, shares: newShares()}
+	return &Queue{slots: max(slots, 1), factor: factorOrDefault(factor), notify: notify, shares: newShares()}
 }
 
 // Running returns the number of requests that hold a slot.
@@ -210,6 +207,17 @@
 	return false
 }
 
+// SetFactor changes the queue factor; 0 or less stands for DefaultQueueFactor.
+// Requests that wait already keep their places.
+func (q *Queue) SetFactor(factor float64) { q.factor = factorOrDefault(factor) }
+
+func factorOrDefault(factor float64) float64 {
+	if factor <= 0 {
+		return DefaultQueueFactor
+	}
+	return factor
+}
+
 // SetSlots changes the number of slots. Running requests above a lower number
 // go on.
 func (q *Queue) SetSlots(now time.Time, slots int) {
--- a/internal/host/attach.go
+++ b/internal/host/attach.go
@@ -81,6 +81,7 @@
 	for id, server := range *a.host.servers.Load() {
 		if record, ok := e.Self().Server(id); ok {
 			server.refusing.Store(record.Leaving || withdrawn(now, e, record))
+			server.admit.SetQueueFactor(e.Config().Services[server.service].QueueFactor)
 		}
 	}
 }
