--- a/test/harness/main.go
+++ b/test/harness/main.go
@@ -13,6 +13,7 @@
 )
 
 func main() {
+	killOnSignal()
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	for _, c := range []struct {
 		name, summary string
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -34,6 +35,9 @@
 		return nil, trace.Wrap(err, "start %s", name)
 	}
 	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	started.mu.Lock()
+	started.list = append(started.list, p)
+	started.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		log.Close()
@@ -45,6 +49,30 @@
 	return p, nil
 }
 
+// started are all processes of this run, so that an interrupted run ends them.
+var started struct {
+	mu   sync.Mutex
+	list []*process
+}
+
+// killOnSignal ends every process of the run when the harness is told to stop.
+// A closed standard output, as of a pipe into head, must not end the harness
+// before its processes.
+func killOnSignal() {
+	signal.Ignore(syscall.SIGPIPE)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		started.mu.Lock()
+		defer started.mu.Unlock()
+		for _, p := range started.list {
+			p.signal(syscall.SIGKILL)
+		}
+		os.Exit(exitNotRun)
+	}()
+}
+
 // signal sends a signal to the process if it still runs.
 func (p *process) signal(s syscall.Signal) {
 	select {
