--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -122,19 +122,19 @@
 // displace refuses the waiting request with the highest tag, the newest of its
 // account, if w has a lower one.
 func (q *Queue) displace(w *Waiter) bool {
-	victim := 0
+	worst := 0
 	for i, other := range q.waiting {
-		if other.tag >= q.waiting[victim].tag {
-			victim = i
+		if other.tag >= q.waiting[worst].tag {
+			worst = i
 		}
 	}
-	loser := q.waiting[victim]
-	if w.tag >= loser.tag-tagRounding {
+	refused := q.waiting[worst]
+	if w.tag >= refused.tag-tagRounding {
 		return false
 	}
-	q.remove(victim)
-	q.shares.undo(loser)
-	q.notify(loser, codes.Overloaded.New("the account has used its share of a full queue"))
+	q.remove(worst)
+	q.shares.undo(refused)
+	q.notify(refused, codes.Overloaded.New("the account has used its share of a full queue"))
 	return true
 }
 
--- a/internal/controller/detection_test.go
+++ b/internal/controller/detection_test.go
@@ -175,9 +175,9 @@
 	n.waitForPath(false)
 }
 
-// TestLostEventsConvictNobody guards against requests that seem to run for
+// TestLostEventsEjectNobody guards against requests that seem to run for
 // ever because the event of their end did not fit into the queue.
-func TestLostEventsConvictNobody(t *testing.T) {
+func TestLostEventsEjectNobody(t *testing.T) {
 	n := newNode(t)
 	n.work("a", 50, detect.Success)
 	for n.detection.Dropped() == 0 {
--- a/internal/detect/detect_test.go
+++ b/internal/detect/detect_test.go
@@ -222,9 +222,9 @@
 	}
 }
 
-// TestPausedObserverConvictsNobody guards against ages that grew while this
+// TestPausedObserverEjectsNobody guards against ages that grew while this
 // process was stopped and the ends of requests waited unread.
-func TestPausedObserverConvictsNobody(t *testing.T) {
+func TestPausedObserverEjectsNobody(t *testing.T) {
 	h := newHost(detect.PresetTrust, 3)
 	h.runWithPeers(5*time.Second, healthy)
 	for range 5 {
--- a/internal/detect/target.go
+++ b/internal/detect/target.go
@@ -184,7 +184,7 @@
 
 // replay rates the latest latencies by the new baseline. Evidence gathered by
 // the old one would otherwise outlive the comparison it rests on: when a whole
-// service slows down, every server would be convicted by its past at the time
+// service slows down, every server would be ejected for its past at the time
 // at which its peers begin to look the same.
 func (s *target) replay() {
 	for h := slowAll; h < hypotheses; h++ {
--- a/internal/gossip/partners.go
+++ b/internal/gossip/partners.go
@@ -7,9 +7,9 @@
 	"github.com/tarragonford/tarragonford/internal/fleet"
 )
 
-// graveLifetime is how long the address of a forgotten node is called. It
+// tombstoneLifetime is how long the address of a forgotten node is called. It
 // outlasts a region split of an hour with a wide margin.
-const graveLifetime = 24 * time.Hour
+const tombstoneLifetime = 24 * time.Hour
 
 // partners returns the nodes that this node exchanges with.
 func (s *Service) partners() []string {
@@ -63,8 +63,8 @@
 			reachable[known.record.ControlAddr] = true
 		}
 	}
-	for _, buried := range s.graves {
-		addrs = append(addrs, buried.addr)
+	for _, forgotten := range s.tombstones {
+		addrs = append(addrs, forgotten.addr)
 	}
 	addrs = append(addrs, seeds...)
 	addrs = slices.DeleteFunc(addrs, func(addr string) bool { return addr == "" || reachable[addr] })
@@ -72,13 +72,13 @@
 	return slices.Compact(addrs)
 }
 
-// expireGraves drops the addresses of nodes that were forgotten long ago.
-func (s *store) expireGraves(now time.Time) {
+// expireTombstones drops the addresses of nodes that were forgotten long ago.
+func (s *store) expireTombstones(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, buried := range s.graves {
-		if now.Sub(buried.at) > graveLifetime {
-			delete(s.graves, id)
+	for id, forgotten := range s.tombstones {
+		if now.Sub(forgotten.at) > tombstoneLifetime {
+			delete(s.tombstones, id)
 		}
 	}
 }
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -221,7 +221,7 @@
 // so that a node joins through seeds and the sides of a split find each other.
 func (s *Service) outreachLoop(ctx context.Context) {
 	for {
-		s.store.expireGraves(time.Now())
+		s.store.expireTombstones(time.Now())
 		if target, ok := s.pickOutreach(); ok {
 			s.exchangeAddr(ctx, target)
 		}
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -27,8 +27,8 @@
 	from string
 }
 
-// grave remembers a forgotten record.
-type grave struct {
+// tombstone remembers a forgotten record.
+type tombstone struct {
 	version fleet.Version
 	addr    string
 	at      time.Time
@@ -43,10 +43,10 @@
 // store holds the newest known copy of every record. It is safe for
 // concurrent use; no method blocks.
 type store struct {
-	mu     sync.Mutex
-	selfID string
-	items  map[string]item
-	graves map[string]grave
+	mu         sync.Mutex
+	selfID     string
+	items      map[string]item
+	tombstones map[string]tombstone
 	// down holds the nodes that count as down or that this node cannot reach.
 	down     map[string]bool
 	wanted   map[string]time.Time
@@ -68,13 +68,13 @@
 
 func newStore(selfID string) *store {
 	return &store{
-		selfID: selfID,
-		items:  map[string]item{},
-		graves: map[string]grave{},
-		down:   map[string]bool{},
-		wanted: map[string]time.Time{},
-		fresh:  map[string]*fleet.NodeRecord{},
-		urgent: make(chan struct{}, 1),
+		selfID:     selfID,
+		items:      map[string]item{},
+		tombstones: map[string]tombstone{},
+		down:       map[string]bool{},
+		wanted:     map[string]time.Time{},
+		fresh:      map[string]*fleet.NodeRecord{},
+		urgent:     make(chan struct{}, 1),
 	}
 }
 
@@ -124,7 +124,7 @@
 	}
 	s.changed = now
 	delete(s.wanted, record.ID)
-	delete(s.graves, record.ID)
+	delete(s.tombstones, record.ID)
 	s.ring.update(record.ID, !record.Left)
 	if record.ID != s.selfID {
 		s.fresh[record.ID] = record
@@ -190,8 +190,8 @@
 	if known, ok := s.items[id]; ok {
 		return version.Newer(known.record.Version)
 	}
-	if buried, ok := s.graves[id]; ok {
-		return version.Newer(buried.version) || version == buried.version && !down
+	if forgotten, ok := s.tombstones[id]; ok {
+		return version.Newer(forgotten.version) || version == forgotten.version && !down
 	}
 	return len(s.items) < maxNodes
 }
@@ -325,8 +325,8 @@
 	if known, ok := s.items[id]; ok {
 		return known.record.ControlAddr, true
 	}
-	if buried, ok := s.graves[id]; ok {
-		return buried.addr, true
+	if forgotten, ok := s.tombstones[id]; ok {
+		return forgotten.addr, true
 	}
 	return "", false
 }
@@ -344,7 +344,7 @@
 	delete(s.fresh, id)
 	delete(s.down, id)
 	s.ring.update(id, false)
-	s.graves[id] = grave{version: known.record.Version, addr: known.record.ControlAddr, at: now}
+	s.tombstones[id] = tombstone{version: known.record.Version, addr: known.record.ControlAddr, at: now}
 	s.forgotten = append(s.forgotten, id)
 	s.changed = now
 }
