Report allocations per request, and the runtime on the metrics page

Cause: make bench printed no allocations, and operators had no runtime metrics. Change: the Go and process collectors on the metrics page; the harness takes the allocations of the nodes from it. Ruled out: a benchmark in one process, which would count the client as well.

--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
@@ -49,6 +50,8 @@
 		return nil, trace.Wrap(err)
 	}
 	t := &Telemetry{Log: log, Level: level, registry: prometheus.NewRegistry()}
+	// The collectors read the runtime only when the page is pulled.
+	t.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	res := nodeResource(node, version)
 	if err := t.startMetrics(res); err != nil {
 		return nil, trace.Wrap(err)
--- a/test/harness/bench.go
+++ b/test/harness/bench.go
@@ -48,7 +48,9 @@
 	AddedP999MS      float64 `json:"added_p999_ms"`
 	RequestsPerS     float64 `json:"requests_per_s"`
 	RequestsPerCoreS float64 `json:"requests_per_core_s"`
-	Failures         int     `json:"failures"`
+	// AllocationsPerRequest counts those of all nodes on the path.
+	AllocationsPerRequest float64 `json:"allocations_per_request"`
+	Failures              int     `json:"failures"`
 }
 
 const benchSeed = `services:
@@ -84,7 +86,7 @@
 		results = append(results, result)
 	}
 	for i, p := range paths {
-		results[i].RequestsPerS, results[i].RequestsPerCoreS = c.throughput(p)
+		c.throughput(p, &results[i])
 	}
 	return printBench(results)
 }
@@ -193,10 +195,10 @@
 // throughputTime is the length of one throughput measurement.
 const throughputTime = 4 * time.Second
 
-// throughput returns the requests per second of closed-loop workers, and per
-// second of processor time of the nodes.
-func (c *benchCommand) throughput(p *benchPath) (float64, float64) {
-	before := cpuSeconds(p.nodes)
+// throughput measures the requests per second of closed-loop workers, and per
+// second of processor time and per allocation of the nodes.
+func (c *benchCommand) throughput(p *benchPath, result *benchResult) {
+	before, allocated := cpuSeconds(p.nodes), allocations(p.nodes)
 	begin := time.Now()
 	var wait sync.WaitGroup
 	counts := make([]int, c.Workers)
@@ -214,11 +216,20 @@
 	for _, n := range counts {
 		total += n
 	}
-	rate := float64(total) / time.Since(begin).Seconds()
-	if len(p.nodes) == 0 {
-		return rate, 0
+	result.RequestsPerS = float64(total) / time.Since(begin).Seconds()
+	if len(p.nodes) > 0 && total > 0 {
+		result.RequestsPerCoreS = float64(total) / (cpuSeconds(p.nodes) - before)
+		result.AllocationsPerRequest = (allocations(p.nodes) - allocated) / float64(total)
 	}
-	return rate, float64(total) / (cpuSeconds(p.nodes) - before)
+}
+
+// allocations returns the heap objects that the nodes have allocated.
+func allocations(nodes []*instance) float64 {
+	total := 0.0
+	for _, i := range nodes {
+		total += i.metric("go_memstats_mallocs_total")
+	}
+	return total
 }
 
 // cpuSeconds returns the processor time of the nodes, from /proc.
@@ -252,10 +263,10 @@
 
 func printBench(results []benchResult) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "path\tp50 ms\tp99 ms\tp99.9 ms\tadded p50\tadded p99\tadded p99.9\trequests/s\trequests/core s\tfailures\t")
+	fmt.Fprintln(w, "path\tp50 ms\tp99 ms\tp99.9 ms\tadded p50\tadded p99\tadded p99.9\trequests/s\trequests/core s\tallocations\tfailures\t")
 	for _, r := range results {
-		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%d\t\n", r.Path, r.P50MS, r.P99MS, r.P999MS,
-			r.AddedP50MS, r.AddedP99MS, r.AddedP999MS, r.RequestsPerS, r.RequestsPerCoreS, r.Failures)
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%d\t\n", r.Path, r.P50MS, r.P99MS, r.P999MS,
+			r.AddedP50MS, r.AddedP99MS, r.AddedP999MS, r.RequestsPerS, r.RequestsPerCoreS, r.AllocationsPerRequest, r.Failures)
 	}
 	if err := w.Flush(); err != nil {
 		return trace.Wrap(err)
