Keep the drained request running past every fixed pause

Cause: TestStopFinishesRequestsInProgress passed with the drain's wait for running requests removed, because the request ended within the 2 s for which a leaving node goes on answering. A comment on the collector gave a share of processor time that no run had shown. Ruled out: shorter pauses in the test only, which would test other code.

--- a/cmd/tarragond/memory.go
+++ b/cmd/tarragond/memory.go
@@ -7,9 +7,9 @@
 
 const (
 	// gcPercent lets the heap of a node, which is small beside what requests
-	// allocate, grow to five times its live size between two collections. At
-	// the default of 100 the collector took a quarter of the processor time of
-	// a request.
+	// allocate, grow to five times its live size between two collections. It
+	// raised the two-hop requests per core second from 2,717-3,265 at the default
+	// of 100 to 3,504-3,638.
 	gcPercent = 400
 	// memoryLimit makes the collector run more often near the budget of 256 MB
 	// for a node, in bytes.
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -93,6 +93,9 @@
 			close(leaving.stop)
 			f.wait("the node leaves", func() bool { return leaving.board.View().Self.Leaving })
 			checkRefused(t, call(leaving, c.method))
+			// The request outlasts every fixed pause of a stop, so that only the
+			// wait for running requests keeps it from being cut.
+			time.Sleep(leavingTime + leftTime + 2*closeTime)
 			close(g.open)
 			if got := <-first; got.err != nil || got.status != http.StatusOK || got.body != gateAnswer {
 				t.Errorf("the request in progress got %+v", got)
