--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -26,6 +26,9 @@
 	DefaultDeadlineMS int64 `json:"default_deadline_ms,omitempty"`
 	// Hedge enables hedged reads.
 	Hedge bool `json:"hedge,omitempty"`
+	// ConnLimit bounds the connections to one server from all callers; 0 if the
+	// configuration does not say.
+	ConnLimit int `json:"-"`
 }
 
 // DefaultDeadline returns the deadline of requests that name none.
@@ -47,6 +50,44 @@
 	// Idempotent lists the methods, beyond the safe ones (GET, HEAD, OPTIONS),
 	// that may run more than once. Every other method is non-idempotent.
 	Idempotent []string `json:"idempotent,omitempty"`
+	// Kind, if set, replaces the rule by method. It and the fields below come
+	// from a configuration that operators write to the platform; the rows of
+	// the intents do not hold them.
+	Kind RequestKind `json:"-"`
+	// Split distributes the requests among services by weight and replaces
+	// Service; empty for a route of one service.
+	Split []Share `json:"-"`
+	// Timeout is the longest time that a caller is kept waiting; 0 for no bound.
+	Timeout time.Duration `json:"-"`
+	// Objective is the latency within which an answer is fully useful.
+	Objective time.Duration `json:"-"`
+	// MaxAttempts bounds the servers that one request is sent to; 0 for no bound.
+	MaxAttempts int `json:"-"`
+	// Priority ranks the route; 0 is the most urgent.
+	Priority int `json:"-"`
+}
+
+// RequestKind says what may be repeated.
+type RequestKind string
+
+// The kinds. The empty kind goes by the method of the request.
+const (
+	KindIdempotent    RequestKind = "idempotent"
+	KindNonIdempotent RequestKind = "non-idempotent"
+)
+
+// Share is one part of a split route.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// RequestLimits bounds what callers may send.
+type RequestLimits struct {
+	// HeaderBytes and BodyBytes bound one request.
+	HeaderBytes, BodyBytes int64
+	// HeaderTime bounds the arrival of a header, IdleTime an idle connection.
+	HeaderTime, IdleTime time.Duration
 }
 
 // Account is a client account.
@@ -132,6 +173,9 @@
 	Routes      map[string]Route
 	Accounts    map[string]Account
 	Withdrawals map[string]Withdrawal
+	// Limits bounds the requests of callers; zero values mean that the
+	// settings of the node hold.
+	Limits RequestLimits
 	// Index finds the route of a request.
 	Index *RouteIndex
 }
--- a/internal/fleet/routes.go
+++ b/internal/fleet/routes.go
@@ -46,6 +46,19 @@
 	return Route{}, false
 }
 
+// FindPrefix returns the route of the host with the longest prefix that the
+// path begins with. Unlike Find it takes a path without its last slash for
+// another path, and no route for every host.
+func (x *RouteIndex) FindPrefix(host, path string) (Route, bool) {
+	prefixes := x.byHostPrefix[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route, ok := prefixes[path[:end+1]]; ok {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
 // SafeMethod reports whether RFC 9110 defines the method as safe. Safe methods
 // are always idempotent.
 func SafeMethod(method string) bool {
@@ -54,6 +67,9 @@
 
 // IsIdempotent reports whether a request with the method may run more than once.
 func (r Route) IsIdempotent(method string) bool {
+	if r.Kind != "" {
+		return r.Kind == KindIdempotent
+	}
 	if SafeMethod(method) {
 		return true
 	}
--- /dev/null
+++ b/internal/gate/doc.go
@@ -0,0 +1,26 @@
+// Package gate decides, at the node beside a backend server, which requests the
+// server gets: by the health that its last results show, by its free slots and
+// by what the waiting requests can still reach. Time is an input; the package
+// does no I/O.
+//
+// # Health
+//
+// Servers fail most of their requests for a few seconds while their health
+// checks pass, and one server sees only a few requests a second. Doubt keeps the
+// probability of such a spell in a two-state hidden Markov model: spells begin
+// and end at rates that are learned while the server runs, and each result is
+// weighed by its likelihood in and out of a spell. Between results the
+// probability drifts to the share of time that spells take.
+//
+// A non-idempotent request runs only while the probability is below
+// RunOnceDoubt. Above it, one idempotent request at a time tries the server,
+// because it can be sent to another one when it fails. A refusal reaches no
+// server, so it costs neither an attempt nor the retry budget.
+//
+// # Slots
+//
+// A request runs if a slot is free. Otherwise it may wait, in the order of
+// priority and then of arrival, if it would end within its latency objective by
+// the mean service time. Every refusal means that the request has not run and
+// will not run here.
+package gate
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,294 @@
+package gate
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// RunOnceDoubt is the doubt above which a server runs no non-idempotent
+	// request.
+	RunOnceDoubt = 0.4
+	// trialPause is the time between the failure of a trial and the next one.
+	trialPause = 300 * time.Millisecond
+	// meanWeight is the weight of one request in the mean service time.
+	meanWeight = 1.0 / 8
+	// initialService is the mean service time before the first result.
+	initialService = 300 * time.Millisecond
+	// maxWaiting bounds the requests that wait, as a multiple of the slots.
+	maxWaiting = 4
+)
+
+// Refusal says why a request does not run.
+type Refusal int
+
+// The refusals.
+const (
+	// NotRefused stands for a request that runs.
+	NotRefused Refusal = iota
+	// Closed gates have no server, or one that leaves.
+	Closed
+	// Doubtful servers have failed lately.
+	Doubtful
+	// Busy servers have no slot in time.
+	Busy
+)
+
+// String returns the name of the refusal for logs.
+func (r Refusal) String() string {
+	return [...]string{"none", "closed", "doubtful", "busy"}[r]
+}
+
+// Work describes a request that asks for a slot.
+type Work struct {
+	// Priority ranks the request; 0 is the most urgent.
+	Priority   int
+	Idempotent bool
+	// Objective is the time until which the answer is fully useful.
+	Objective time.Time
+	// MayWait lets the request wait for a slot.
+	MayWait bool
+}
+
+// Load describes the server for the nodes that choose between servers.
+type Load struct {
+	Running, Waiting, Slots int
+	// Doubt is the probability that the server is in a spell of failures.
+	Doubt float64
+	// Service is the mean service time.
+	Service time.Duration
+	// Open tells that the server takes work.
+	Open bool
+	// Cold tells that the server is slow after its start.
+	Cold bool
+}
+
+// Ticket is a request that runs or waits.
+type Ticket struct {
+	work    Work
+	order   uint64
+	trial   bool
+	running bool
+	started time.Time
+	// turn receives the end of the wait.
+	turn chan Refusal
+}
+
+// Turn receives NotRefused when a waiting request may run, or its refusal.
+func (t *Ticket) Turn() <-chan Refusal { return t.turn }
+
+// Gate admits the requests of one server. It is safe for concurrent use.
+type Gate struct {
+	mu        sync.Mutex
+	slots     int
+	open      bool
+	warmUntil time.Time
+	running   int
+	waiting   []*Ticket
+	order     uint64
+	doubt     Doubt
+	trial     bool
+	nextTrial time.Time
+	service   time.Duration
+}
+
+// New returns a closed gate.
+func New(now time.Time) *Gate {
+	return &Gate{doubt: NewDoubt(now), service: initialService}
+}
+
+// Open sets the capacity of the server. A new incarnation starts without the
+// evidence of the last one.
+func (g *Gate) Open(now time.Time, slots int, warmUntil time.Time, fresh bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if fresh {
+		g.doubt = NewDoubt(now)
+		g.trial = false
+	}
+	g.open, g.slots, g.warmUntil = true, slots, warmUntil
+	g.startWaiting(now)
+}
+
+// Close refuses new and waiting requests; running ones go on.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open = false
+	for _, ticket := range g.waiting {
+		ticket.turn <- Closed
+	}
+	g.waiting = nil
+}
+
+// IsOpen reports whether the server takes work. It is the last check before a
+// request is sent.
+func (g *Gate) IsOpen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open
+}
+
+// Offer asks for a slot. The ticket runs at once, or waits if it is not
+// running; a refusal comes without a ticket and with the time after which a
+// slot may be free.
+func (g *Gate) Offer(now time.Time, work Work) (ticket *Ticket, refusal Refusal, retryAfter time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.open {
+		return nil, Closed, 0
+	}
+	trial, allowed := g.healthAllows(now, work)
+	if !allowed {
+		return nil, Doubtful, max(g.nextTrial.Sub(now), trialPause)
+	}
+	ticket = &Ticket{work: work, trial: trial, order: g.order, turn: make(chan Refusal, 1)}
+	g.order++
+	if g.running < g.slots && len(g.waiting) == 0 {
+		g.start(now, ticket)
+		return ticket, NotRefused, 0
+	}
+	wait := g.expectedWait(work.Priority)
+	if trial || !work.MayWait || len(g.waiting) >= maxWaiting*g.slots || now.Add(wait+g.service).After(work.Objective) {
+		return nil, Busy, wait
+	}
+	g.insert(ticket)
+	return ticket, NotRefused, 0
+}
+
+// Running reports whether the request may be sent now.
+func (g *Gate) Running(t *Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return t.running
+}
+
+// healthAllows reports whether the request may run as a normal one or as a
+// trial of a doubtful server.
+func (g *Gate) healthAllows(now time.Time, work Work) (trial, allowed bool) {
+	if g.doubt.At(now) < RunOnceDoubt {
+		return false, true
+	}
+	if !work.Idempotent || g.trial || now.Before(g.nextTrial) {
+		return false, false
+	}
+	return true, true
+}
+
+// expectedWait returns the mean time until a slot is free for a request of the
+// priority.
+func (g *Gate) expectedWait(priority int) time.Duration {
+	ahead := g.running - g.slots + 1
+	for _, other := range g.waiting {
+		if other.work.Priority <= priority {
+			ahead++
+		}
+	}
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / float64(g.slots) * float64(g.service))
+}
+
+func (g *Gate) insert(ticket *Ticket) {
+	at := sort.Search(len(g.waiting), func(i int) bool {
+		return g.waiting[i].work.Priority > ticket.work.Priority
+	})
+	g.waiting = append(g.waiting, nil)
+	copy(g.waiting[at+1:], g.waiting[at:])
+	g.waiting[at] = ticket
+}
+
+func (g *Gate) start(now time.Time, ticket *Ticket) {
+	ticket.running = true
+	ticket.started = now
+	g.running++
+	if ticket.trial {
+		g.trial = true
+	}
+}
+
+// Cancel ends the wait of a request, or its run without evidence.
+func (g *Gate) Cancel(now time.Time, ticket *Ticket) { g.Done(now, ticket, None) }
+
+// Done ends a request with what it showed of the server.
+func (g *Gate) Done(now time.Time, ticket *Ticket, evidence Evidence) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !ticket.running {
+		g.drop(ticket)
+		return
+	}
+	ticket.running = false
+	g.running--
+	if ticket.trial {
+		g.trial = false
+	}
+	if evidence == Success {
+		g.service += time.Duration(meanWeight * float64(now.Sub(ticket.started)-g.service))
+	}
+	g.observe(now, evidence)
+	g.startWaiting(now)
+}
+
+// Stalled takes evidence of a request that has not ended yet.
+func (g *Gate) Stalled(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.observe(now, Stall)
+}
+
+func (g *Gate) observe(now time.Time, evidence Evidence) {
+	if evidence == None {
+		return
+	}
+	g.doubt.Observe(now, evidence)
+	if evidence != Success {
+		g.nextTrial = now.Add(trialPause)
+	}
+}
+
+func (g *Gate) drop(ticket *Ticket) {
+	for i, other := range g.waiting {
+		if other == ticket {
+			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// startWaiting gives free slots to waiting requests, and refuses those that the
+// health no longer allows.
+func (g *Gate) startWaiting(now time.Time) {
+	kept := g.waiting[:0]
+	for _, ticket := range g.waiting {
+		trial, allowed := g.healthAllows(now, ticket.work)
+		switch {
+		case !allowed:
+			ticket.turn <- Doubtful
+		case g.running < g.slots:
+			ticket.trial = trial
+			g.start(now, ticket)
+			ticket.turn <- NotRefused
+		default:
+			kept = append(kept, ticket)
+		}
+	}
+	g.waiting = kept
+}
+
+// Load returns the load and health of the server.
+func (g *Gate) Load(now time.Time) Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Load{
+		Running: g.running,
+		Waiting: len(g.waiting),
+		Slots:   g.slots,
+		Doubt:   g.doubt.At(now),
+		Service: g.service,
+		Open:    g.open,
+		Cold:    now.Before(g.warmUntil),
+	}
+}
--- /dev/null
+++ b/internal/registration/registration.go
@@ -0,0 +1,158 @@
+package registration
+
+import "time"
+
+// Report is one heartbeat of a backend server.
+type Report struct {
+	ID string
+	// Born is the start of the incarnation in Unix milliseconds; 0 if unknown.
+	Born     int64
+	Sequence uint64
+	Service  string
+	Addr     string
+	Slots    int
+	// Leaving servers finish their work and take no more.
+	Leaving bool
+	// WarmUp is how much longer the server is slow after its start.
+	WarmUp time.Duration
+}
+
+// Incarnation identifies one start of a backend server.
+type Incarnation struct {
+	ID   string `json:"id"`
+	Born int64  `json:"born"`
+}
+
+// Server is the current incarnation.
+type Server struct {
+	Incarnation
+	Addr    string
+	Slots   int
+	Leaving bool
+	// WarmUntil is the end of the cold start.
+	WarmUntil time.Time
+	// ReportedAt is the arrival of the newest report.
+	ReportedAt time.Time
+}
+
+// maxLeft bounds the leaves that are remembered. One node sees a few servers
+// one after the other.
+const maxLeft = 64
+
+// Registry holds the reports of one server address. It is not safe for
+// concurrent use.
+type Registry struct {
+	service  string
+	current  Server
+	known    bool
+	sequence uint64
+	// left are the incarnations that left, oldest first.
+	left []Incarnation
+}
+
+// New returns a registry for the servers of one service.
+func New(service string) *Registry { return &Registry{service: service} }
+
+// Restore adds an incarnation that left while an earlier process of the node
+// ran.
+func (r *Registry) Restore(left Incarnation) {
+	r.remember(left)
+	if r.known && r.current.Incarnation == left {
+		r.current.Leaving = true
+	}
+}
+
+// Left returns the incarnation that left last.
+func (r *Registry) Left() (Incarnation, bool) {
+	if len(r.left) == 0 {
+		return Incarnation{}, false
+	}
+	return r.left[len(r.left)-1], true
+}
+
+// Heartbeat takes a report. It returns false for a report that names no server
+// of the service; a report that is late is taken and changes nothing.
+func (r *Registry) Heartbeat(now time.Time, report Report) bool {
+	if report.Service != r.service || report.Slots < 1 || report.ID == "" || report.Addr == "" {
+		return false
+	}
+	incarnation := Incarnation{ID: report.ID, Born: report.Born}
+	switch {
+	case r.known && incarnation == r.current.Incarnation:
+		if report.Sequence <= r.sequence {
+			return true
+		}
+	case r.known && !r.replaces(incarnation):
+		return true
+	}
+	if report.Leaving {
+		r.remember(incarnation)
+	}
+	r.known = true
+	r.sequence = report.Sequence
+	r.current = Server{
+		Incarnation: incarnation,
+		Addr:        report.Addr,
+		Slots:       report.Slots,
+		Leaving:     r.hasLeft(incarnation),
+		ReportedAt:  now,
+	}
+	if report.WarmUp > 0 {
+		r.current.WarmUntil = now.Add(report.WarmUp)
+	}
+	return true
+}
+
+// replaces reports whether another incarnation than the current one is newer.
+// Without start times the order of arrival decides.
+func (r *Registry) replaces(next Incarnation) bool {
+	if next.Born == 0 || r.current.Born == 0 {
+		return !r.hasLeft(next)
+	}
+	return next.Born > r.current.Born
+}
+
+// Deregister takes the leave of an incarnation. A start time of 0 stands for
+// the current incarnation of the ID.
+func (r *Registry) Deregister(id string, born int64) bool {
+	incarnation := Incarnation{ID: id, Born: born}
+	if born == 0 && r.known && r.current.ID == id {
+		incarnation.Born = r.current.Born
+	}
+	r.remember(incarnation)
+	if r.known && r.current.Incarnation == incarnation {
+		r.current.Leaving = true
+	}
+	return true
+}
+
+// Forget drops the current incarnation, after its address turned out to belong
+// to another one.
+func (r *Registry) Forget(incarnation Incarnation) {
+	if r.known && r.current.Incarnation == incarnation {
+		r.current.Leaving = true
+		r.remember(incarnation)
+	}
+}
+
+// Current returns the current incarnation.
+func (r *Registry) Current() (Server, bool) { return r.current, r.known }
+
+func (r *Registry) remember(left Incarnation) {
+	if r.hasLeft(left) {
+		return
+	}
+	r.left = append(r.left, left)
+	if len(r.left) > maxLeft {
+		r.left = r.left[1:]
+	}
+}
+
+func (r *Registry) hasLeft(incarnation Incarnation) bool {
+	for _, left := range r.left {
+		if left == incarnation {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sidecar/attempts.go
@@ -0,0 +1,247 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/forward"
+	"github.com/tarragonford/tarragonford/internal/gate"
+	"github.com/tarragonford/tarragonford/internal/httpconn"
+	"github.com/tarragonford/tarragonford/internal/pick"
+)
+
+const (
+	// quickHops is the number of nodes that are asked for a free slot before a
+	// request waits for one.
+	quickHops = 3
+	// maxHops bounds the nodes that one request is sent to.
+	maxHops = 10
+	// holdShare is the part of the latency objective for which a request is
+	// held while no server takes it. Longer holding costs callers more than
+	// coming back.
+	holdShare = 1.0 / 8
+	// holdStep is the time between two looks for a server that takes a request.
+	holdStep = 40 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+	// peerIdle is how long a connection to another node may have been idle.
+	peerIdle = 20 * time.Second
+)
+
+// run sends the request to servers until one answers or the exchange is given
+// up, and answers the caller.
+func (x *exchange) run(ctx context.Context, w http.ResponseWriter) {
+	e := x.entry
+	e.budget(x.service).Fresh(x.started)
+	var last *httpconn.Answer
+	hold := x.started.Add(time.Duration(holdShare * float64(x.objective.Sub(x.started))))
+	for hops := 0; hops < maxHops; {
+		if ctx.Err() != nil {
+			break
+		}
+		member, ok := x.choose(hops)
+		if !ok {
+			if last != nil || x.attempts > 0 || !x.hold(ctx, hold) {
+				break
+			}
+			continue
+		}
+		hops++
+		reply, err := x.send(ctx, member, hops > quickHops)
+		next, answer := x.judge(ctx, member, reply, err)
+		if answer != nil {
+			last = answer
+		}
+		if next {
+			continue
+		}
+		break
+	}
+	x.conclude(ctx, w, last)
+}
+
+// choose picks the next node.
+func (x *exchange) choose(hops int) (Member, bool) {
+	e := x.entry
+	x.view = e.board.View()
+	pool := x.view.Services[x.service]
+	if pool == nil {
+		return Member{}, false
+	}
+	now := time.Now()
+	query := pick.Query{
+		Idempotent: x.request.idempotent,
+		Objective:  x.objective.Sub(x.started),
+		Exclude:    func(id string) bool { return x.tried[id] },
+	}
+	i, ok := e.picker.Choose(now, rand.Float64, pool.Candidates, query)
+	if !ok && hops <= quickHops && x.releaseBusy() {
+		i, ok = e.picker.Choose(now, rand.Float64, pool.Candidates, query)
+	}
+	if !ok {
+		return Member{}, false
+	}
+	return pool.Members[i], true
+}
+
+// releaseBusy lets nodes that had no free slot be asked again, now for a place
+// in their queue.
+func (x *exchange) releaseBusy() bool {
+	released := false
+	for id, final := range x.tried {
+		if !final {
+			delete(x.tried, id)
+			released = true
+		}
+	}
+	return released
+}
+
+// hold waits until a server may take the request; false when the time is up.
+func (x *exchange) hold(ctx context.Context, until time.Time) bool {
+	if !time.Now().Add(holdStep).Before(until) {
+		return false
+	}
+	clear(x.tried)
+	select {
+	case <-time.After(holdStep):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// send runs one hop.
+func (x *exchange) send(ctx context.Context, member Member, mayWait bool) (*hopReply, error) {
+	e := x.entry
+	r := x.request
+	now := time.Now()
+	r.arrived = now
+	r.left = x.deadline.Sub(now)
+	r.objective = x.objective.Sub(now)
+	r.mayWait = mayWait
+	if member.ID == e.settings.Node {
+		return e.host.serve(ctx, &r), nil
+	}
+	header := http.Header{}
+	forward.CopyEndToEnd(header, r.header)
+	e.headers.Strip(header)
+	stripHop(header)
+	header[headerHop] = []string{r.encode()}
+	answer, err := e.peers.Do(ctx, member.Addr, &httpconn.Request{
+		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, ID: r.id, MaxIdle: peerIdle,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return decodeReply(answer), nil
+}
+
+func decodeReply(answer *httpconn.Answer) *hopReply {
+	reply := &hopReply{}
+	reply.report, reply.hasReport = decodeReport(answer.Header.Get(headerLoad))
+	if text := answer.Header.Get(headerRefused); text != "" {
+		if refused, ok := decodeRefusal(text); ok {
+			reply.refused = &refused
+			return reply
+		}
+	}
+	if !reply.hasReport || answer.Header.Get(headerFailed) != "" {
+		reply.failed = "the host lost the answer of the server"
+		return reply
+	}
+	reply.answer = answer
+	return reply
+}
+
+// judge takes the result of a hop. It returns true if another server is to be
+// tried, and the answer of the server if there is one.
+func (x *exchange) judge(ctx context.Context, member Member, reply *hopReply, err error) (bool, *httpconn.Answer) {
+	e := x.entry
+	now := time.Now()
+	if reply != nil && reply.hasReport {
+		e.picker.Report(now, member.ID, reply.report.Load)
+		e.onVersion(reply.report.version, member.Addr)
+	}
+	switch {
+	case errors.Is(err, httpconn.ErrNotSent):
+		x.note(member, "unreachable")
+		if ctx.Err() == nil {
+			e.picker.Unreachable(now, member.ID)
+		}
+		x.tried[member.ID] = true
+		return true, nil
+	case err != nil:
+		x.note(member, "lost")
+		if ctx.Err() == nil {
+			e.picker.Unreachable(now, member.ID)
+			e.peers.Drop(member.Addr)
+		}
+		x.tried[member.ID] = true
+		x.attempts++
+		return x.request.idempotent && x.mayRepeat(now), nil
+	case reply.refused != nil:
+		x.note(member, reply.refused.reason.String())
+		e.picker.Refused(now, member.ID, reply.refused.reason, reply.refused.after)
+		x.tried[member.ID] = reply.refused.reason != gate.Busy || x.request.mayWait
+		return true, nil
+	case reply.answer == nil:
+		x.note(member, "answer-lost")
+		x.tried[member.ID] = true
+		x.attempts++
+		return x.request.idempotent && x.mayRepeat(now), nil
+	}
+	return x.judgeAnswer(member, reply.answer, now)
+}
+
+func (x *exchange) judgeAnswer(member Member, answer *httpconn.Answer, now time.Time) (bool, *httpconn.Answer) {
+	x.note(member, fmt.Sprint(answer.Status))
+	x.tried[member.ID] = true
+	if x.entry.headers.NotRun(answer.Status, answer.Header) {
+		// It reached a server, so another attempt counts as a repeat.
+		return x.mayRepeat(now), answer
+	}
+	x.attempts++
+	if answer.Status >= http.StatusInternalServerError && x.request.idempotent {
+		return x.mayRepeat(now), answer
+	}
+	return false, answer
+}
+
+func (x *exchange) note(member Member, result string) {
+	x.path = append(x.path, fmt.Sprintf("%s %s %dms", member.ID, result, time.Since(x.started).Milliseconds()))
+}
+
+// conclude answers the caller with the last answer of a server or with a coded
+// error that tells truly whether the request may have run.
+func (x *exchange) conclude(ctx context.Context, w http.ResponseWriter, last *httpconn.Answer) {
+	e := x.entry
+	expired := !time.Now().Before(x.deadline)
+	switch {
+	case last != nil && (x.attempts == 0 || !e.headers.NotRun(last.Status, last.Header)):
+		x.deliver(w, last)
+	case x.attempts > 0 && expired:
+		e.fail(w, x, codes.DeadlineExceeded.New("the server gave no answer in time"), 0)
+	case x.attempts > 0:
+		e.fail(w, x, codes.AnswerLost.New("the request was sent to a server and its answer was lost"), 0)
+	case ctx.Err() != nil:
+		e.fail(w, x, codes.NoServer.New("no server took the request in time"), minRetryAfter)
+	default:
+		e.fail(w, x, codes.NoServer.New("no server of service %s takes the request", x.service), x.retryAfter())
+	}
+}
+
+// retryAfter returns when a server may take the request.
+func (x *exchange) retryAfter() time.Duration {
+	pool := x.view.Services[x.service]
+	if pool == nil {
+		return maxRetryAfter
+	}
+	return min(max(x.entry.picker.Soonest(time.Now(), pool.Candidates), minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/internal/sidecar/board.go
@@ -0,0 +1,156 @@
+package sidecar
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonford/tarragonford/internal/fleet"
+	"github.com/tarragonford/tarragonford/internal/pick"
+	"github.com/tarragonford/tarragonford/internal/registration"
+)
+
+// Member is a node as the others know it. Its row in the table of members holds
+// it as JSON.
+type Member struct {
+	ID         string `json:"id"`
+	Addr       string `json:"addr"`
+	DataCentre string `json:"dc"`
+	Region     string `json:"region"`
+	Service    string `json:"service"`
+}
+
+// View is an immutable picture of the control state.
+type View struct {
+	// Config is nil before the first configuration.
+	Config *fleet.Config
+	// Document is the encoded configuration, for nodes that lack it.
+	Document []byte
+	// Members are all nodes by ID, this one included.
+	Members map[string]Member
+	// MembersKnown tells that the table of members was read once.
+	MembersKnown bool
+	// Services lists the nodes beside the servers of each service.
+	Services map[string]*Pool
+	// Server is the own backend server; its ID is empty if none registered.
+	Server registration.Server
+	// Leaving is set when the process stops.
+	Leaving bool
+}
+
+// Pool is the nodes of one service. Members and Candidates go together.
+type Pool struct {
+	Members    []Member
+	Candidates []pick.Candidate
+}
+
+// Ready reports whether callers may use the node.
+func (v *View) Ready() bool { return v.Config != nil && v.MembersKnown && !v.Leaving }
+
+// state is owned by the control goroutine.
+type state struct {
+	config       *fleet.Config
+	document     []byte
+	members      map[string]Member
+	membersKnown bool
+	registry     *registration.Registry
+	leaving      bool
+}
+
+// Board holds the control state and publishes it.
+type Board struct {
+	state state
+	posts chan func(*state)
+	view  atomic.Pointer[View]
+	// onChange is called on the control goroutine with the views before and
+	// after a change.
+	onChange func(before, after *View)
+}
+
+// postQueue bounds the changes that wait for the control goroutine. Each is a
+// few microseconds of work.
+const postQueue = 256
+
+// NewBoard returns a board that knows only the own node.
+func NewBoard(self Member, onChange func(before, after *View)) *Board {
+	b := &Board{posts: make(chan func(*state), postQueue), onChange: onChange}
+	b.state = state{
+		members:  map[string]Member{self.ID: self},
+		registry: registration.New(self.Service),
+	}
+	b.view.Store(b.state.publish())
+	return b
+}
+
+// View returns the newest view.
+func (b *Board) View() *View { return b.view.Load() }
+
+// Run applies changes until ctx ends.
+func (b *Board) Run(ctx context.Context) {
+	for {
+		select {
+		case change := <-b.posts:
+			b.apply(change)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *Board) apply(change func(*state)) {
+	before := b.view.Load()
+	change(&b.state)
+	after := b.state.publish()
+	b.view.Store(after)
+	b.onChange(before, after)
+}
+
+// Do runs a change on the control goroutine and waits for its end.
+func (b *Board) Do(ctx context.Context, change func(*state)) error {
+	done := make(chan struct{})
+	select {
+	case b.posts <- func(s *state) { change(s); close(done) }:
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+}
+
+// publish returns the view of the state. Maps are copied, because views are
+// read without a lock.
+func (s *state) publish() *View {
+	view := &View{
+		Config:       s.config,
+		Document:     s.document,
+		Members:      make(map[string]Member, len(s.members)),
+		MembersKnown: s.membersKnown,
+		Services:     map[string]*Pool{},
+		Leaving:      s.leaving,
+	}
+	for id, member := range s.members {
+		view.Members[id] = member
+		pool := view.Services[member.Service]
+		if pool == nil {
+			pool = &Pool{}
+			view.Services[member.Service] = pool
+		}
+		pool.Members = append(pool.Members, member)
+		pool.Candidates = append(pool.Candidates, pick.Candidate{ID: member.ID, DataCentre: member.DataCentre, Region: member.Region})
+	}
+	if server, ok := s.registry.Current(); ok {
+		view.Server = server
+	}
+	return view
+}
+
+// heartbeat takes a report of the own server.
+func (s *state) heartbeat(now time.Time, report registration.Report) bool {
+	return s.registry.Heartbeat(now, report)
+}
--- /dev/null
+++ b/internal/sidecar/hop.go
@@ -0,0 +1,165 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonford/tarragonford/internal/gate"
+)
+
+// Headers of a hop between two nodes. Their names are short, because bytes
+// between data centres are dear.
+const (
+	// headerHop carries the terms of the request.
+	headerHop = "T-Hop"
+	// headerLoad carries the load of the server beside the answering node.
+	headerLoad = "T-Load"
+	// headerRefused says why the request did not run and never will.
+	headerRefused = "T-Refused"
+	// headerFailed says that the request was sent to the server and no whole
+	// answer came.
+	headerFailed = "T-Failed"
+	// headerState asks for the state of the node instead of a hop.
+	headerState = "T-State"
+)
+
+// terms are what the host must know of a request beside the request itself.
+type terms struct {
+	left       time.Duration
+	objective  time.Duration
+	priority   int
+	idempotent bool
+	mayWait    bool
+	caller     string
+	service    string
+	// version is that of the configuration in force at the entry, and inbound
+	// the address at which it can be asked for.
+	version uint64
+	inbound string
+}
+
+const termFields = 8
+
+func (t terms) encode() string {
+	flags := 0
+	if t.idempotent {
+		flags |= 1
+	}
+	if t.mayWait {
+		flags |= 2
+	}
+	return fmt.Sprintf("%d;%d;%d;%d;%s;%s;%d;%s", t.left.Milliseconds(), t.objective.Milliseconds(),
+		t.priority, flags, t.caller, t.service, t.version, t.inbound)
+}
+
+func decodeTerms(text string) (terms, error) {
+	fields := strings.Split(text, ";")
+	if len(fields) != termFields {
+		return terms{}, trace.BadParameter("a hop has %d fields, not %d", termFields, len(fields))
+	}
+	var numbers [4]int64
+	for i := range numbers {
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return terms{}, trace.BadParameter("field %d of a hop is no number", i)
+		}
+		numbers[i] = n
+	}
+	version, err := strconv.ParseUint(fields[6], 10, 64)
+	if err != nil {
+		return terms{}, trace.BadParameter("the configuration version of a hop is no number")
+	}
+	return terms{
+		left:       time.Duration(numbers[0]) * time.Millisecond,
+		objective:  time.Duration(numbers[1]) * time.Millisecond,
+		priority:   int(numbers[2]),
+		idempotent: numbers[3]&1 != 0,
+		mayWait:    numbers[3]&2 != 0,
+		caller:     fields[4],
+		service:    fields[5],
+		version:    version,
+		inbound:    fields[7],
+	}, nil
+}
+
+// report is the load of a server and the configuration version of its node.
+type report struct {
+	gate.Load
+	version uint64
+}
+
+// doubtScale is the resolution of the doubt in a report.
+const doubtScale = 1000
+
+func (r report) encode() string {
+	return fmt.Sprintf("%d;%d;%d;%d;%d;%d;%d;%d", bit(r.Open), r.Running, r.Waiting, r.Slots,
+		int(r.Doubt*doubtScale), r.Service.Milliseconds(), bit(r.Cold), r.version)
+}
+
+const reportFields = 8
+
+func decodeReport(text string) (report, bool) {
+	fields := strings.Split(text, ";")
+	if len(fields) != reportFields {
+		return report{}, false
+	}
+	var n [reportFields]int64
+	for i, field := range fields {
+		value, err := strconv.ParseInt(field, 10, 64)
+		if err != nil || value < 0 {
+			return report{}, false
+		}
+		n[i] = value
+	}
+	return report{
+		Load: gate.Load{
+			Open:    n[0] == 1,
+			Running: int(n[1]),
+			Waiting: int(n[2]),
+			Slots:   int(n[3]),
+			Doubt:   float64(n[4]) / doubtScale,
+			Service: time.Duration(n[5]) * time.Millisecond,
+			Cold:    n[6] == 1,
+		},
+		version: uint64(n[7]),
+	}, true
+}
+
+func bit(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// refusal is why a host did not run a request.
+type refusal struct {
+	reason gate.Refusal
+	// after is the time after which the host may take the request.
+	after time.Duration
+}
+
+func (r refusal) encode() string { return fmt.Sprintf("%d;%d", r.reason, r.after.Milliseconds()) }
+
+func decodeRefusal(text string) (refusal, bool) {
+	reason, after, _ := strings.Cut(text, ";")
+	n, err := strconv.Atoi(reason)
+	ms, err2 := strconv.ParseInt(after, 10, 64)
+	if err != nil || err2 != nil || n < int(gate.Closed) || n > int(gate.Busy) {
+		return refusal{}, false
+	}
+	return refusal{reason: gate.Refusal(n), after: time.Duration(ms) * time.Millisecond}, true
+}
+
+// stripHop removes the headers of a hop, so that neither callers nor servers
+// can send them.
+func stripHop(h http.Header) {
+	for _, name := range []string{headerHop, headerLoad, headerRefused, headerFailed, headerState} {
+		delete(h, name)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/host.go
@@ -0,0 +1,205 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/forward"
+	"github.com/tarragonford/tarragonford/internal/gate"
+	"github.com/tarragonford/tarragonford/internal/httpconn"
+	"github.com/tarragonford/tarragonford/internal/registration"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
+)
+
+const (
+	// runOnceIdle is how long a connection may have been idle to carry a
+	// non-idempotent request: a server that closes it meanwhile loses the
+	// request.
+	runOnceIdle = time.Second
+	// repeatableIdle is the same for requests that can be sent again.
+	repeatableIdle = 8 * time.Second
+	// stallFactor times the mean service time is unusually long, and minStall
+	// at least.
+	stallFactor = 4
+	minStall    = time.Second
+)
+
+// hopRequest is a request at its host.
+type hopRequest struct {
+	terms
+	id     string
+	method string
+	target string
+	host   string
+	header http.Header
+	body   []byte
+	// arrived is the time from which the terms count.
+	arrived time.Time
+}
+
+// hopReply is what became of a request at its host: an answer of the server, a
+// refusal, or neither if the answer was lost.
+type hopReply struct {
+	answer  *httpconn.Answer
+	refused *refusal
+	failed  string
+	report  report
+	// hasReport tells that the host reported its load.
+	hasReport bool
+}
+
+// host runs requests at the own server.
+type host struct {
+	board     *Board
+	gate      *gate.Gate
+	pool      *httpconn.Pool
+	headers   Headers
+	addr      string
+	log       *zap.Logger
+	telemetry *telemetry.Telemetry
+	// onForeign is called when another incarnation has the server's address.
+	onForeign func(registration.Incarnation)
+}
+
+// serve runs one request and reports the load of the server.
+func (h *host) serve(ctx context.Context, r *hopRequest) *hopReply {
+	ctx, cancel := context.WithDeadline(ctx, r.arrived.Add(r.left))
+	defer cancel()
+	reply := h.admit(ctx, r)
+	now := time.Now()
+	reply.report = report{Load: h.gate.Load(now)}
+	reply.hasReport = true
+	if config := h.board.View().Config; config != nil {
+		reply.report.version = config.Version
+	}
+	h.record(r, reply, now)
+	return reply
+}
+
+func (h *host) admit(ctx context.Context, r *hopRequest) *hopReply {
+	view := h.board.View()
+	if view.Leaving || view.Server.ID == "" || view.Server.Leaving {
+		return refuse(gate.Closed, 0)
+	}
+	work := gate.Work{
+		Priority:   r.priority,
+		Idempotent: r.idempotent,
+		Objective:  r.arrived.Add(r.objective),
+		MayWait:    r.mayWait,
+	}
+	ticket, reason, after := h.gate.Offer(time.Now(), work)
+	if reason != gate.NotRefused {
+		return refuse(reason, after)
+	}
+	if !h.gate.Running(ticket) {
+		select {
+		case reason := <-ticket.Turn():
+			if reason != gate.NotRefused {
+				return refuse(reason, 0)
+			}
+		case <-ctx.Done():
+			h.gate.Cancel(time.Now(), ticket)
+			return refuse(gate.Busy, 0)
+		}
+	}
+	return h.run(ctx, view.Server, ticket, r)
+}
+
+// run sends the request to the server. The incarnation is that of the
+// admission; a server that left meanwhile gets nothing.
+func (h *host) run(ctx context.Context, server registration.Server, ticket *gate.Ticket, r *hopRequest) *hopReply {
+	current := h.board.View().Server
+	if !h.gate.IsOpen() || current.Incarnation != server.Incarnation || ctx.Err() != nil {
+		h.gate.Cancel(time.Now(), ticket)
+		return refuse(gate.Closed, 0)
+	}
+	stall := time.AfterFunc(max(stallFactor*h.gate.Load(time.Now()).Service, minStall), func() { h.gate.Stalled(time.Now()) })
+	h.telemetry.Metrics.Dispatches.Inc()
+	started := time.Now()
+	answer, err := h.pool.Do(ctx, h.addr, h.request(server, r))
+	stall.Stop()
+	ended := time.Now()
+	h.telemetry.Metrics.ServerTime.Record(ended.Sub(started))
+	evidence := h.evidence(ctx, answer, err)
+	h.gate.Done(ended, ticket, evidence)
+	switch {
+	case errors.Is(err, httpconn.ErrNotSent):
+		return refuse(gate.Closed, 0)
+	case err != nil:
+		return &hopReply{failed: err.Error()}
+	case answer.Status == http.StatusMisdirectedRequest:
+		h.onForeign(server.Incarnation)
+	}
+	stripHop(answer.Header)
+	return &hopReply{answer: answer}
+}
+
+func (h *host) request(server registration.Server, r *hopRequest) *httpconn.Request {
+	header := http.Header{}
+	forward.CopyEndToEnd(header, r.header)
+	h.headers.Strip(header)
+	stripHop(header)
+	h.headers.Address(header, Addressing{
+		Left:     time.Until(r.arrived.Add(r.left)),
+		Caller:   r.caller,
+		Instance: server.ID,
+	})
+	maxIdle := repeatableIdle
+	if !r.idempotent {
+		maxIdle = runOnceIdle
+	}
+	return &httpconn.Request{
+		Method: r.method, Target: r.target, Host: r.host,
+		Header: header, Body: r.body, ID: r.id, MaxIdle: maxIdle,
+	}
+}
+
+// evidence classifies the end of a request. A request whose caller left shows
+// nothing.
+func (h *host) evidence(ctx context.Context, answer *httpconn.Answer, err error) gate.Evidence {
+	switch {
+	case err != nil && errors.Is(ctx.Err(), context.Canceled):
+		return gate.None
+	case err != nil:
+		return gate.Failure
+	case h.headers.NotRun(answer.Status, answer.Header):
+		return gate.Shed
+	case answer.Status >= http.StatusInternalServerError:
+		return gate.Failure
+	}
+	return gate.Success
+}
+
+func refuse(reason gate.Refusal, after time.Duration) *hopReply {
+	return &hopReply{refused: &refusal{reason: reason, after: after}}
+}
+
+// record writes the log line of the decision.
+func (h *host) record(r *hopRequest, reply *hopReply, now time.Time) {
+	result, code, status := "answered", 0, 0
+	switch {
+	case reply.refused != nil:
+		result, code = "refused-"+reply.refused.reason.String(), codes.NoServer.Number
+	case reply.answer == nil:
+		result, code = "lost", codes.AnswerLost.Number
+	default:
+		status = reply.answer.Status
+	}
+	h.telemetry.Metrics.HostRequests.Inc(resultOf(code))
+	h.log.Info("host",
+		zap.String("request", r.id),
+		zap.String("result", result),
+		zap.Int("status", status),
+		zap.String("error", reply.failed),
+		zap.Int("running", reply.report.Running),
+		zap.Int("waiting", reply.report.Waiting),
+		zap.Float64("doubt", reply.report.Doubt),
+		zap.Bool("idempotent", r.idempotent),
+		zap.Uint64("entry_config", r.version),
+		zap.Duration("took", now.Sub(r.arrived)))
+}
--- /dev/null
+++ b/internal/sidecar/inbound.go
@@ -0,0 +1,107 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tarragonford/tarragonford/internal/forward"
+	"github.com/tarragonford/tarragonford/internal/gate"
+)
+
+// peerState is what a node tells another that lacks it.
+type peerState struct {
+	// Document is the encoded configuration.
+	Document []byte            `json:"document"`
+	Members  map[string]Member `json:"members"`
+}
+
+// inbound serves the requests of other nodes.
+type inbound struct {
+	host *host
+	// service is that of the own server.
+	service string
+	// maxBody bounds a request body in bytes.
+	maxBody int64
+	headers Headers
+	// onVersion is called with the configuration version of another node.
+	onVersion func(version uint64, inbound string)
+}
+
+// ServeHTTP implements http.Handler.
+func (i *inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerState) != "" {
+		i.serveState(w)
+		return
+	}
+	t, err := decodeTerms(r.Header.Get(headerHop))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	i.onVersion(t.version, t.inbound)
+	arrived := time.Now()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, i.maxBody))
+	if err != nil {
+		// The request did not arrive whole, so nothing of it runs.
+		writeReply(w, i.headers.RequestID(r.Header), i.headers, refuse(gate.Busy, 0))
+		return
+	}
+	request := &hopRequest{
+		terms: t, id: i.headers.RequestID(r.Header), method: r.Method, target: r.RequestURI,
+		host: r.Host, header: r.Header, body: body, arrived: arrived,
+	}
+	if t.service != i.service {
+		writeReply(w, request.id, i.headers, refuse(gate.Closed, 0))
+		return
+	}
+	writeReply(w, request.id, i.headers, i.host.serve(r.Context(), request))
+}
+
+func (i *inbound) serveState(w http.ResponseWriter) {
+	view := i.host.board.View()
+	body, err := json.Marshal(peerState{Document: view.Document, Members: view.Members})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	// A peer that cannot read the state asks another node.
+	_, _ = w.Write(body)
+}
+
+// writeReply sends the reply of the host to the entry.
+func writeReply(w http.ResponseWriter, id string, headers Headers, reply *hopReply) {
+	header := w.Header()
+	// Nodes have no use for a date or a guess of the content type.
+	header["Date"], header["Content-Type"] = nil, nil
+	status := http.StatusOK
+	var body []byte
+	switch {
+	case reply.refused != nil:
+		headers.SetRequestID(header, id)
+		header[headerRefused] = []string{reply.refused.encode()}
+	case reply.answer == nil:
+		headers.SetRequestID(header, id)
+		header[headerFailed] = []string{"1"}
+	default:
+		forward.CopyEndToEnd(header, reply.answer.Header)
+		status, body = reply.answer.Status, reply.answer.Body
+	}
+	if reply.hasReport {
+		header[headerLoad] = []string{reply.report.encode()}
+	}
+	if bodyAllowed(status) {
+		header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	}
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil && bodyAllowed(status) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// bodyAllowed reports whether RFC 9110 allows a body with the status.
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/internal/sidecar/node.go
@@ -0,0 +1,272 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/tarragonford/tarragonford/internal/gate"
+	"github.com/tarragonford/tarragonford/internal/httpconn"
+	"github.com/tarragonford/tarragonford/internal/pick"
+	"github.com/tarragonford/tarragonford/internal/registration"
+	"github.com/tarragonford/tarragonford/internal/route"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
+)
+
+const (
+	// serverDialTimeout bounds a connection to the own server, which is on the
+	// same instance; peerDialTimeout one to another node, some milliseconds away.
+	serverDialTimeout = time.Second
+	peerDialTimeout   = 400 * time.Millisecond
+	// peerUserTimeout ends a connection to a node that acknowledges nothing.
+	peerUserTimeout = 1500 * time.Millisecond
+	// idlePerServer and idlePerPeer bound the kept connections.
+	idlePerServer = 32
+	idlePerPeer   = 16
+	// maxAnswer bounds an answer in bytes, which a node holds whole.
+	maxAnswer = 16 << 20
+	// headerTime bounds the arrival of a header.
+	headerTime = 10 * time.Second
+	// callerIdleTime bounds an idle connection of a caller. It exceeds the
+	// limits that configurations set, so that no caller's kept connection is
+	// closed under its next request.
+	callerIdleTime = 3 * time.Minute
+	// sweepInterval is the time between two removals of idle connections and of
+	// what is known of nodes that are gone.
+	sweepInterval = 2 * time.Second
+)
+
+// Parts are what the adapter to the platform gives a node.
+type Parts struct {
+	Settings      Settings
+	Source        Source
+	Configuration Configuration
+	Headers       Headers
+	// RequestIDHeader names the request in the answers of servers.
+	RequestIDHeader string
+	// ReadyHandler and RegistrationHandler serve the calls of the platform and
+	// of the own server.
+	ReadyHandler        func(ready func() bool) http.Handler
+	RegistrationHandler func(node *Node) http.Handler
+	Telemetry           *telemetry.Telemetry
+}
+
+// Node is the process.
+type Node struct {
+	parts    Parts
+	settings Settings
+	log      *zap.Logger
+	board    *Board
+	gate     *gate.Gate
+	picker   *pick.Picker
+	splitter *route.Splitter
+	servers  *httpconn.Pool
+	peers    *httpconn.Pool
+	syncer   *syncer
+	entry    *entry
+	// lifetime ends with the process.
+	lifetime context.Context
+	end      context.CancelFunc
+	// inFlight counts the requests of callers and other nodes.
+	inFlight atomic.Int64
+}
+
+// New builds a node.
+func New(parts Parts) *Node {
+	s := parts.Settings
+	n := &Node{parts: parts, settings: s, log: parts.Telemetry.Log, gate: gate.New(time.Now())}
+	n.lifetime, n.end = context.WithCancel(context.Background())
+	self := Member{ID: s.Node, Addr: s.Inbound, DataCentre: s.DataCentre, Region: s.Region, Service: s.Service}
+	n.board = NewBoard(self, n.changed)
+	n.picker = pick.New(s.DataCentre, s.Region)
+	n.splitter = route.NewSplitter()
+	n.servers = httpconn.NewPool(httpconn.Options{
+		DialTimeout: serverDialTimeout,
+		IdleTime:    repeatableIdle,
+		IdlePerAddr: idlePerServer,
+		MaxAnswer:   maxAnswer,
+		IDHeader:    parts.RequestIDHeader,
+	})
+	n.peers = httpconn.NewPool(httpconn.Options{
+		DialTimeout: peerDialTimeout,
+		UserTimeout: peerUserTimeout,
+		IdleTime:    peerIdle,
+		IdlePerAddr: idlePerPeer,
+		MaxAnswer:   maxAnswer,
+		IDHeader:    parts.RequestIDHeader,
+	})
+	n.syncer = &syncer{
+		self: self, settings: s, board: n.board, source: parts.Source,
+		configuration: parts.Configuration, peers: n.peers, log: n.log,
+	}
+	n.entry = &entry{
+		settings: s, board: n.board, picker: n.picker, splitter: n.splitter, peers: n.peers,
+		headers: parts.Headers, log: n.log, telemetry: parts.Telemetry,
+		onVersion: n.heard, budgets: map[string]*route.SharedBudget{},
+		host: &host{
+			board: n.board, gate: n.gate, pool: n.servers, headers: parts.Headers, addr: s.ServerAddr,
+			log: n.log, telemetry: parts.Telemetry, onForeign: n.forget,
+		},
+	}
+	return n
+}
+
+func (n *Node) heard(version uint64, addr string) { n.syncer.heard(n.lifetime, version, addr) }
+
+// changed follows a change of the control state. It runs on the control
+// goroutine.
+func (n *Node) changed(before, after *View) {
+	if before.Config != after.Config {
+		n.splitter.Reset()
+		n.parts.Telemetry.Metrics.ConfigVersion.Set(int64(after.Config.Version))
+	}
+	if before.Server == after.Server {
+		return
+	}
+	now := time.Now()
+	fresh := before.Server.Incarnation != after.Server.Incarnation
+	if after.Server.Leaving {
+		n.gate.Close()
+	} else {
+		n.gate.Open(now, after.Server.Slots, after.Server.WarmUntil, fresh)
+	}
+	if fresh || before.Server.Leaving != after.Server.Leaving {
+		n.log.Info("server",
+			zap.String("server", after.Server.ID), zap.Int64("born", after.Server.Born),
+			zap.Bool("leaving", after.Server.Leaving), zap.Int("slots", after.Server.Slots))
+	}
+	if after.Server.Leaving && (fresh || !before.Server.Leaving) {
+		go n.syncer.saveLeft(n.lifetime, after.Server.Incarnation)
+	}
+}
+
+// registrationTime bounds the wait of a report for the control goroutine.
+const registrationTime = 500 * time.Millisecond
+
+// Heartbeat takes a report of the own server.
+func (n *Node) Heartbeat(report registration.Report) bool {
+	taken := false
+	ctx, cancel := context.WithTimeout(n.lifetime, registrationTime)
+	defer cancel()
+	err := n.board.Do(ctx, func(s *state) { taken = s.heartbeat(time.Now(), report) })
+	if err != nil || !taken {
+		n.log.Warn("report not taken", zap.String("server", report.ID), zap.Uint64("sequence", report.Sequence), zap.Error(err))
+	}
+	return err == nil && taken
+}
+
+// Deregister takes the leave of a server.
+func (n *Node) Deregister(id string, born int64) bool {
+	ctx, cancel := context.WithTimeout(n.lifetime, registrationTime)
+	defer cancel()
+	err := n.board.Do(ctx, func(s *state) { s.registry.Deregister(id, born) })
+	if err != nil {
+		n.log.Warn("leave not taken", zap.String("server", id), zap.Error(err))
+	}
+	return err == nil
+}
+
+// forget drops an incarnation whose address belongs to another one.
+func (n *Node) forget(incarnation registration.Incarnation) {
+	n.log.Warn("another server has the address", zap.String("server", incarnation.ID))
+	n.board.posts <- func(s *state) { s.registry.Forget(incarnation) }
+}
+
+// Run serves until stop is closed, then stops gracefully.
+func (n *Node) Run(stop <-chan struct{}) error {
+	defer n.end()
+	servers, listeners, err := n.listen()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	group, ctx := errgroup.WithContext(n.lifetime)
+	for i := range servers {
+		group.Go(func() error {
+			if err := servers[i].Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				return trace.Wrap(err)
+			}
+			return nil
+		})
+	}
+	group.Go(func() error { n.board.Run(ctx); return nil })
+	group.Go(func() error { n.syncer.followConfiguration(ctx); return nil })
+	group.Go(func() error { n.syncer.followMembers(ctx); return nil })
+	group.Go(func() error { n.sweep(ctx); return nil })
+	go n.syncer.restoreLeft(ctx)
+	group.Go(func() error {
+		select {
+		case <-stop:
+			n.drain(ctx)
+		case <-ctx.Done():
+		}
+		for _, server := range servers {
+			server.Close()
+		}
+		n.end()
+		return nil
+	})
+	n.log.Info("started", zap.String("outbound", n.settings.Outbound), zap.String("inbound", n.settings.Inbound),
+		zap.String("server_service", n.settings.Service), zap.Bool("first_start", n.settings.FirstStart))
+	return group.Wait()
+}
+
+func (n *Node) listen() ([]*http.Server, []net.Listener, error) {
+	hop := &inbound{host: n.entry.host, service: n.settings.Service, maxBody: maxAnswer, headers: n.parts.Headers, onVersion: n.heard}
+	handlers := []struct {
+		addr    string
+		handler http.Handler
+	}{
+		{n.settings.Outbound, n.counted(n.entry)},
+		{n.settings.Inbound, n.counted(hop)},
+		{n.settings.Ready, n.parts.ReadyHandler(func() bool { return n.board.View().Ready() })},
+		{n.settings.Registration, n.parts.RegistrationHandler(n)},
+	}
+	var servers []*http.Server
+	var listeners []net.Listener
+	for _, h := range handlers {
+		listener, err := net.Listen("tcp", h.addr)
+		if err != nil {
+			for _, open := range listeners {
+				open.Close()
+			}
+			return nil, nil, trace.Wrap(err)
+		}
+		listeners = append(listeners, listener)
+		servers = append(servers, &http.Server{
+			Handler: h.handler, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdleTime,
+			ErrorLog: zap.NewStdLog(n.log),
+		})
+	}
+	return servers, listeners, nil
+}
+
+func (n *Node) counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.inFlight.Add(1)
+		defer n.inFlight.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.servers.Prune(now)
+			n.peers.Prune(now)
+			members := n.board.View().Members
+			n.picker.Keep(func(id string) bool { _, ok := members[id]; return ok })
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/stop.go
@@ -0,0 +1,42 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// noticeTime is how long a stopping node takes requests of callers, who
+	// learn within two questions, a second apart, that it is not ready.
+	noticeTime = 2500 * time.Millisecond
+	// stopMargin is the time before the stop limit at which requests that still
+	// run are cut off.
+	stopMargin = 300 * time.Millisecond
+	drainPoll  = 20 * time.Millisecond
+)
+
+// drain takes no hops, waits for the requests in flight and for callers to
+// leave, until the stop limit.
+func (n *Node) drain(ctx context.Context) {
+	n.log.Info("stopping", zap.Int64("in_flight", n.inFlight.Load()))
+	started := time.Now()
+	if err := n.board.Do(ctx, func(s *state) { s.leaving = true }); err != nil {
+		n.log.Warn("the control goroutine did not take the stop", zap.Error(err))
+	}
+	if n.board.View().Server.Leaving {
+		// The server beside this node is gone and so is the node, unless
+		// another server starts here and the node with it.
+		removal, cancel := context.WithTimeout(ctx, n.settings.StopLimit-stopMargin)
+		defer cancel()
+		go n.syncer.removeSelf(removal)
+	}
+	for time.Since(started) < n.settings.StopLimit-stopMargin {
+		if n.inFlight.Load() == 0 && time.Since(started) > noticeTime {
+			break
+		}
+		sleep(ctx, drainPoll)
+	}
+	n.log.Info("stopped", zap.Int64("cut_off", n.inFlight.Load()), zap.Duration("took", time.Since(started)))
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"os"
 
@@ -45,7 +46,12 @@
 // collector is no error. It fails on a log level or format that is not known,
 // or when the exporters cannot be built.
 func New(ctx context.Context, node settings.Node, version string) (*Telemetry, error) {
-	log, level, err := newLogger(node, version, os.Stderr)
+	return NewTo(ctx, node, version, os.Stderr)
+}
+
+// NewTo is New with another destination of the log.
+func NewTo(ctx context.Context, node settings.Node, version string, out io.Writer) (*Telemetry, error) {
+	log, level, err := newLogger(node, version, out)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
