Let requests wait for a slot by their patience, and ask a busy node once more only

Change: a request joins the queue if its expected wait is within its patience; order by priority, then objective; the entry asks three nodes for a free slot, then each once for a place in its queue. Ruled out: a test of the whole service time against the objective, which refuses every short call at a server that also runs long work.

--- a/internal/gate/doc.go
+++ b/internal/gate/doc.go
@@ -20,7 +20,7 @@
 // # Slots
 //
 // A request runs if a slot is free. Otherwise it may wait, in the order of
-// priority and then of arrival, if it would end within its latency objective by
-// the mean service time. Every refusal means that the request has not run and
+// priority and then of the latency objective, if its expected wait does not
+// exceed its patience. Every refusal means that the request has not run and
 // will not run here.
 package gate
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -47,8 +47,36 @@
 	Idempotent bool
 	// Objective is the time until which the answer is fully useful.
 	Objective time.Time
-	// MayWait lets the request wait for a slot.
-	MayWait bool
+	// Patience is the longest expected wait with which the request may join the
+	// queue; 0 if it may not wait.
+	Patience time.Duration
+}
+
+// before reports whether w takes a free slot before other: by priority, then by
+// the objective. Short requests that others wait for have near objectives.
+func (w Work) before(other Work) bool {
+	if w.Priority != other.Priority {
+		return w.Priority < other.Priority
+	}
+	return w.Objective.Before(other.Objective)
+}
+
+// Shares of the time that a request has which it may be expected to wait.
+const (
+	patienceOfObjective = 0.6
+	patienceOfLeft      = 0.4
+	// maxLatePatience bounds the wait of a request beyond its share of the
+	// objective.
+	maxLatePatience = time.Second
+)
+
+// PatienceOf returns how long a request with an objective and the time that is
+// left may be expected to wait. A request with a short objective that is left
+// much more time may be late rather than refused, for it is likely part of
+// another one.
+func PatienceOf(objective, left time.Duration) time.Duration {
+	late := min(time.Duration(patienceOfLeft*float64(left)), maxLatePatience)
+	return max(time.Duration(patienceOfObjective*float64(objective)), late, 0)
 }
 
 // Load describes the server for the nodes that choose between servers.
@@ -149,8 +177,8 @@
 		g.start(now, ticket)
 		return ticket, NotRefused, 0
 	}
-	wait := g.expectedWait(work.Priority)
-	if trial || !work.MayWait || len(g.waiting) >= maxWaiting*g.slots || now.Add(wait+g.service).After(work.Objective) {
+	wait := g.expectedWait(work)
+	if trial || len(g.waiting) >= maxWaiting*g.slots || wait > work.Patience || work.Patience == 0 {
 		return nil, Busy, wait
 	}
 	g.insert(ticket)
@@ -176,12 +204,11 @@
 	return true, true
 }
 
-// expectedWait returns the mean time until a slot is free for a request of the
-// priority.
-func (g *Gate) expectedWait(priority int) time.Duration {
+// expectedWait returns the mean time until a slot is free for the request.
+func (g *Gate) expectedWait(work Work) time.Duration {
 	ahead := g.running - g.slots + 1
 	for _, other := range g.waiting {
-		if other.work.Priority <= priority {
+		if !work.before(other.work) {
 			ahead++
 		}
 	}
@@ -193,7 +220,7 @@
 
 func (g *Gate) insert(ticket *Ticket) {
 	at := sort.Search(len(g.waiting), func(i int) bool {
-		return g.waiting[i].work.Priority > ticket.work.Priority
+		return ticket.work.before(g.waiting[i].work)
 	})
 	g.waiting = append(g.waiting, nil)
 	copy(g.waiting[at+1:], g.waiting[at:])
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -45,7 +45,10 @@
 		if ctx.Err() != nil {
 			break
 		}
-		member, ok := x.choose(hops)
+		if hops == quickHops {
+			x.startWaiting()
+		}
+		member, ok := x.choose()
 		if !ok {
 			if last != nil || x.attempts > 0 || !x.hold(ctx, hold) {
 				break
@@ -53,7 +56,7 @@
 			continue
 		}
 		hops++
-		reply, err := x.send(ctx, member, hops > quickHops)
+		reply, err := x.send(ctx, member)
 		next, answer := x.judge(ctx, member, reply, err)
 		if answer != nil {
 			last = answer
@@ -67,7 +70,7 @@
 }
 
 // choose picks the next node.
-func (x *exchange) choose(hops int) (Member, bool) {
+func (x *exchange) choose() (Member, bool) {
 	e := x.entry
 	x.view = e.board.View()
 	pool := x.view.Services[x.service]
@@ -78,10 +81,10 @@
 	query := pick.Query{
 		Idempotent: x.request.idempotent,
 		Objective:  x.objective.Sub(x.started),
-		Exclude:    func(id string) bool { return x.tried[id] },
+		Exclude:    func(id string) bool { _, tried := x.tried[id]; return tried },
 	}
 	i, ok := e.picker.Choose(now, rand.Float64, pool.Candidates, query)
-	if !ok && hops <= quickHops && x.releaseBusy() {
+	if !ok && x.startWaiting() {
 		i, ok = e.picker.Choose(now, rand.Float64, pool.Candidates, query)
 	}
 	if !ok {
@@ -90,17 +93,19 @@
 	return pool.Members[i], true
 }
 
-// releaseBusy lets nodes that had no free slot be asked again, now for a place
-// in their queue.
-func (x *exchange) releaseBusy() bool {
-	released := false
+// startWaiting lets nodes that had no free slot be asked once more, now for a
+// place in their queue. It returns false if that was done already.
+func (x *exchange) startWaiting() bool {
+	if x.waiting {
+		return false
+	}
+	x.waiting = true
 	for id, final := range x.tried {
 		if !final {
 			delete(x.tried, id)
-			released = true
 		}
 	}
-	return released
+	return true
 }
 
 // hold waits until a server may take the request; false when the time is up.
@@ -109,6 +114,7 @@
 		return false
 	}
 	clear(x.tried)
+	x.waiting = false
 	select {
 	case <-time.After(holdStep):
 		return true
@@ -118,14 +124,14 @@
 }
 
 // send runs one hop.
-func (x *exchange) send(ctx context.Context, member Member, mayWait bool) (*hopReply, error) {
+func (x *exchange) send(ctx context.Context, member Member) (*hopReply, error) {
 	e := x.entry
 	r := x.request
 	now := time.Now()
 	r.arrived = now
 	r.left = x.deadline.Sub(now)
 	r.objective = x.objective.Sub(now)
-	r.mayWait = mayWait
+	r.mayWait = x.waiting
 	if member.ID == e.settings.Node {
 		return e.host.serve(ctx, &r), nil
 	}
@@ -189,7 +195,7 @@
 	case reply.refused != nil:
 		x.note(member, reply.refused.reason.String())
 		e.picker.Refused(now, member.ID, reply.refused.reason, reply.refused.after)
-		x.tried[member.ID] = reply.refused.reason != gate.Busy || x.request.mayWait
+		x.tried[member.ID] = reply.refused.reason != gate.Busy || x.waiting
 		return true, nil
 	case reply.answer == nil:
 		x.note(member, "answer-lost")
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -67,8 +67,11 @@
 	objective time.Time
 	// attempts is the number of servers that may have run the request.
 	attempts int
-	// tried are the nodes that are not to be asked again.
+	// tried are the nodes that are not to be asked again; false for those that
+	// only had no free slot.
 	tried map[string]bool
+	// waiting is set once the request asks for a place in a queue.
+	waiting bool
 	// path lists the hops for the log.
 	path []string
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -90,7 +90,9 @@
 		Priority:   r.priority,
 		Idempotent: r.idempotent,
 		Objective:  r.arrived.Add(r.objective),
-		MayWait:    r.mayWait,
+	}
+	if r.mayWait {
+		work.Patience = gate.PatienceOf(r.objective, r.left)
 	}
 	ticket, reason, after := h.gate.Offer(time.Now(), work)
 	if reason != gate.NotRefused {
