Bound the real wait in a queue, and take no work that a stop would cut off

Change: the entry sends its patience and the host refuses at its end; a stopping node shortens the patience, and after 2.5 s takes only requests whose objective fits the time left. Ruled out: closing the listener early, which would cut the calls of the own server's running work.

--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -30,6 +30,9 @@
 	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// stopWaitShare is the part of the time until the stop limit for which the
+	// requests of a stopping node may wait.
+	stopWaitShare = 0.4
 	// peerIdle is how long a connection to another node may have been idle.
 	peerIdle = 20 * time.Second
 )
@@ -131,7 +134,9 @@
 	r.arrived = now
 	r.left = x.deadline.Sub(now)
 	r.objective = x.objective.Sub(now)
-	r.mayWait = x.waiting
+	if x.waiting {
+		r.patience = x.patience(now, r.terms)
+	}
 	if member.ID == e.settings.Node {
 		return e.host.serve(ctx, &r), nil
 	}
@@ -149,6 +154,16 @@
 	return decodeReply(answer), nil
 }
 
+// patience returns how long the request may wait for a slot. A stopping node
+// leaves its requests time to run.
+func (x *exchange) patience(now time.Time, t terms) time.Duration {
+	patience := gate.PatienceOf(t.objective, t.left)
+	if end := x.view.StopAt; !end.IsZero() {
+		patience = min(patience, time.Duration(stopWaitShare*float64(end.Sub(now))))
+	}
+	return max(patience, 0)
+}
+
 func decodeReply(answer *httpconn.Answer) *hopReply {
 	reply := &hopReply{}
 	reply.report, reply.hasReport = decodeReport(answer.Header.Get(headerLoad))
--- a/internal/sidecar/board.go
+++ b/internal/sidecar/board.go
@@ -36,8 +36,10 @@
 	Services map[string]*Pool
 	// Server is the own backend server; its ID is empty if none registered.
 	Server registration.Server
-	// Leaving is set when the process stops.
-	Leaving bool
+	// Leaving is set when the process stops. StopSince is then the start of the
+	// stop and StopAt the time at which requests that still run are cut off.
+	Leaving           bool
+	StopSince, StopAt time.Time
 }
 
 // Pool is the nodes of one service. Members and Candidates go together.
@@ -57,6 +59,8 @@
 	membersKnown bool
 	registry     *registration.Registry
 	leaving      bool
+	// stopSince and stopAt are set with leaving.
+	stopSince, stopAt time.Time
 }
 
 // Board holds the control state and publishes it.
@@ -133,6 +137,8 @@
 		MembersKnown: s.membersKnown,
 		Services:     map[string]*Pool{},
 		Leaving:      s.leaving,
+		StopSince:    s.stopSince,
+		StopAt:       s.stopAt,
 	}
 	for id, member := range s.members {
 		view.Members[id] = member
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -80,7 +80,12 @@
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x, err := e.accept(w, r)
 	if err != nil {
-		e.fail(w, x, codes.Of(err), 0)
+		coded := codes.Of(err)
+		after := time.Duration(0)
+		if coded.Code.Number == codes.Leaving.Number {
+			after = minRetryAfter
+		}
+		e.fail(w, x, coded, after)
 		return
 	}
 	ctx, span := e.telemetry.Tracer.StartRequest(telemetry.Extract(r.Context(), r.Header), "entry")
@@ -108,6 +113,9 @@
 	}
 	x.route = found
 	x.setTimes(r)
+	if err := x.fitsStop(); err != nil {
+		return x, err
+	}
 	body, err := x.readBody(w, r)
 	if err != nil {
 		return x, err
@@ -151,6 +159,20 @@
 	x.objective = x.started.Add(min(objective, timeout))
 }
 
+// fitsStop refuses a request that a stopping node would likely cut off. Callers
+// that still come after noticeTime have not noticed the stop; the calls that the
+// own server makes for its running work are short and go on.
+func (x *exchange) fitsStop() error {
+	end := x.view.StopAt
+	if end.IsZero() || x.started.Before(x.view.StopSince.Add(noticeTime)) {
+		return nil
+	}
+	if x.objective.Sub(x.started) <= time.Duration(stopRunShare*float64(end.Sub(x.started))) {
+		return nil
+	}
+	return codes.Leaving.New("the node stops in %v", end.Sub(x.started))
+}
+
 func (x *exchange) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	limit := x.view.Config.Limits.BodyBytes
 	if limit <= 0 {
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -34,27 +34,21 @@
 	objective  time.Duration
 	priority   int
 	idempotent bool
-	mayWait    bool
-	caller     string
-	service    string
+	// patience is how long the request may wait for a slot; 0 for not at all.
+	patience time.Duration
+	caller   string
+	service  string
 	// version is that of the configuration in force at the entry, and inbound
 	// the address at which it can be asked for.
 	version uint64
 	inbound string
 }
 
-const termFields = 8
+const termFields = 9
 
 func (t terms) encode() string {
-	flags := 0
-	if t.idempotent {
-		flags |= 1
-	}
-	if t.mayWait {
-		flags |= 2
-	}
-	return fmt.Sprintf("%d;%d;%d;%d;%s;%s;%d;%s", t.left.Milliseconds(), t.objective.Milliseconds(),
-		t.priority, flags, t.caller, t.service, t.version, t.inbound)
+	return fmt.Sprintf("%d;%d;%d;%d;%d;%s;%s;%d;%s", t.left.Milliseconds(), t.objective.Milliseconds(),
+		t.patience.Milliseconds(), t.priority, bit(t.idempotent), t.caller, t.service, t.version, t.inbound)
 }
 
 func decodeTerms(text string) (terms, error) {
@@ -62,7 +56,7 @@
 	if len(fields) != termFields {
 		return terms{}, trace.BadParameter("a hop has %d fields, not %d", termFields, len(fields))
 	}
-	var numbers [4]int64
+	var numbers [5]int64
 	for i := range numbers {
 		n, err := strconv.ParseInt(fields[i], 10, 64)
 		if err != nil {
@@ -70,20 +64,20 @@
 		}
 		numbers[i] = n
 	}
-	version, err := strconv.ParseUint(fields[6], 10, 64)
+	version, err := strconv.ParseUint(fields[7], 10, 64)
 	if err != nil {
 		return terms{}, trace.BadParameter("the configuration version of a hop is no number")
 	}
 	return terms{
 		left:       time.Duration(numbers[0]) * time.Millisecond,
 		objective:  time.Duration(numbers[1]) * time.Millisecond,
-		priority:   int(numbers[2]),
-		idempotent: numbers[3]&1 != 0,
-		mayWait:    numbers[3]&2 != 0,
-		caller:     fields[4],
-		service:    fields[5],
+		patience:   time.Duration(numbers[2]) * time.Millisecond,
+		priority:   int(numbers[3]),
+		idempotent: numbers[4] == 1,
+		caller:     fields[5],
+		service:    fields[6],
 		version:    version,
-		inbound:    fields[7],
+		inbound:    fields[8],
 	}, nil
 }
 
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -90,28 +90,36 @@
 		Priority:   r.priority,
 		Idempotent: r.idempotent,
 		Objective:  r.arrived.Add(r.objective),
-	}
-	if r.mayWait {
-		work.Patience = gate.PatienceOf(r.objective, r.left)
+		Patience:   r.patience,
 	}
 	ticket, reason, after := h.gate.Offer(time.Now(), work)
 	if reason != gate.NotRefused {
 		return refuse(reason, after)
 	}
 	if !h.gate.Running(ticket) {
-		select {
-		case reason := <-ticket.Turn():
-			if reason != gate.NotRefused {
-				return refuse(reason, 0)
-			}
-		case <-ctx.Done():
-			h.gate.Cancel(time.Now(), ticket)
-			return refuse(gate.Busy, 0)
+		if reason := h.wait(ctx, ticket, r.patience); reason != gate.NotRefused {
+			return refuse(reason, 0)
 		}
 	}
 	return h.run(ctx, view.Server, ticket, r)
 }
 
+// wait returns when the request may run, or why it may not. Requests that were
+// admitted later may go first, so the real wait is bounded as well as the
+// expected one.
+func (h *host) wait(ctx context.Context, ticket *gate.Ticket, patience time.Duration) gate.Refusal {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case reason := <-ticket.Turn():
+		return reason
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	h.gate.Cancel(time.Now(), ticket)
+	return gate.Busy
+}
+
 // run sends the request to the server. The incarnation is that of the
 // admission; a server that left meanwhile gets nothing.
 func (h *host) run(ctx context.Context, server registration.Server, ticket *gate.Ticket, r *hopRequest) *hopReply {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -14,7 +14,10 @@
 	// stopMargin is the time before the stop limit at which requests that still
 	// run are cut off.
 	stopMargin = 300 * time.Millisecond
-	drainPoll  = 20 * time.Millisecond
+	// stopRunShare is the part of the time until the stop limit that the
+	// objective of a late request may take.
+	stopRunShare = 0.8
+	drainPoll    = 20 * time.Millisecond
 )
 
 // drain takes no hops, waits for the requests in flight and for callers to
@@ -22,17 +25,18 @@
 func (n *Node) drain(ctx context.Context) {
 	n.log.Info("stopping", zap.Int64("in_flight", n.inFlight.Load()))
 	started := time.Now()
-	if err := n.board.Do(ctx, func(s *state) { s.leaving = true }); err != nil {
+	end := started.Add(n.settings.StopLimit - stopMargin)
+	if err := n.board.Do(ctx, func(s *state) { s.leaving, s.stopSince, s.stopAt = true, started, end }); err != nil {
 		n.log.Warn("the control goroutine did not take the stop", zap.Error(err))
 	}
 	if n.board.View().Server.Leaving {
 		// The server beside this node is gone and so is the node, unless
 		// another server starts here and the node with it.
-		removal, cancel := context.WithTimeout(ctx, n.settings.StopLimit-stopMargin)
+		removal, cancel := context.WithDeadline(ctx, end)
 		defer cancel()
 		go n.syncer.removeSelf(removal)
 	}
-	for time.Since(started) < n.settings.StopLimit-stopMargin {
+	for time.Now().Before(end) {
 		if n.inFlight.Load() == 0 && time.Since(started) > noticeTime {
 			break
 		}
