Share load and health by beacons, and hold requests up to their patience

Change: each node tells its data centre, and a relay in each other one, the load and health of its server after a change; the entry asks only nodes that would take the request; waiting requests are counted by priority; a request is held until its patience ends. Ruled out: beacons to every node of other data centres, 14 x 90 bytes a change.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -79,9 +79,28 @@
 	return max(time.Duration(patienceOfObjective*float64(objective)), late, 0)
 }
 
+// Levels is the number of priorities that a Load tells apart.
+const Levels = 4
+
+// Wait returns the expected time until a request of the priority gets a slot,
+// with further requests that the server does not know of yet.
+func (l Load) Wait(priority, further int) time.Duration {
+	ahead := l.Running + further + 1 - l.Slots
+	for level := 0; level <= min(priority, Levels-1); level++ {
+		ahead += l.Waiting[level]
+	}
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / float64(max(l.Slots, 1)) * float64(l.Service))
+}
+
 // Load describes the server for the nodes that choose between servers.
 type Load struct {
-	Running, Waiting, Slots int
+	Running, Slots int
+	// Waiting counts the waiting requests by priority; the last level holds all
+	// less urgent ones.
+	Waiting [Levels]int
 	// Doubt is the probability that the server is in a spell of failures.
 	Doubt float64
 	// Service is the mean service time.
@@ -90,8 +109,17 @@
 	Open bool
 	// Cold tells that the server is slow after its start.
 	Cold bool
+	// Trial is the time until a doubtful server takes one idempotent request as
+	// a trial; trialRunning while one runs.
+	Trial time.Duration
 }
 
+// trialRunning is the Load.Trial of a server whose trial has not ended.
+const trialRunning = time.Second
+
+// Healthy reports whether the server takes non-idempotent requests.
+func (l Load) Healthy() bool { return l.Doubt < RunOnceDoubt }
+
 // Ticket is a request that runs or waits.
 type Ticket struct {
 	work    Work
@@ -119,11 +147,13 @@
 	trial     bool
 	nextTrial time.Time
 	service   time.Duration
+	onChange  func()
 }
 
-// New returns a closed gate.
-func New(now time.Time) *Gate {
-	return &Gate{doubt: NewDoubt(now), service: initialService}
+// New returns a closed gate. onChange is called after each change of the load,
+// with a lock held; it must not call the gate.
+func New(now time.Time, onChange func()) *Gate {
+	return &Gate{doubt: NewDoubt(now), service: initialService, onChange: onChange}
 }
 
 // Open sets the capacity of the server. A new incarnation starts without the
@@ -137,6 +167,7 @@
 	}
 	g.open, g.slots, g.warmUntil = true, slots, warmUntil
 	g.startWaiting(now)
+	g.onChange()
 }
 
 // Close refuses new and waiting requests; running ones go on.
@@ -148,6 +179,7 @@
 		ticket.turn <- Closed
 	}
 	g.waiting = nil
+	g.onChange()
 }
 
 // IsOpen reports whether the server takes work. It is the last check before a
@@ -182,6 +214,7 @@
 		return nil, Busy, wait
 	}
 	g.insert(ticket)
+	g.onChange()
 	return ticket, NotRefused, 0
 }
 
@@ -234,6 +267,7 @@
 	if ticket.trial {
 		g.trial = true
 	}
+	g.onChange()
 }
 
 // Cancel ends the wait of a request, or its run without evidence.
@@ -257,6 +291,7 @@
 	}
 	g.observe(now, evidence)
 	g.startWaiting(now)
+	g.onChange()
 }
 
 // Stalled takes evidence of a request that has not ended yet.
@@ -264,6 +299,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.observe(now, Stall)
+	g.onChange()
 }
 
 func (g *Gate) observe(now time.Time, evidence Evidence) {
@@ -280,6 +316,7 @@
 	for i, other := range g.waiting {
 		if other == ticket {
 			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
+			g.onChange()
 			return
 		}
 	}
@@ -309,13 +346,25 @@
 func (g *Gate) Load(now time.Time) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var waiting [Levels]int
+	for _, ticket := range g.waiting {
+		waiting[min(max(ticket.work.Priority, 0), Levels-1)]++
+	}
 	return Load{
 		Running: g.running,
-		Waiting: len(g.waiting),
+		Waiting: waiting,
 		Slots:   g.slots,
 		Doubt:   g.doubt.At(now),
 		Service: g.service,
 		Open:    g.open,
 		Cold:    now.Before(g.warmUntil),
+		Trial:   g.untilTrial(now),
+	}
+}
+
+func (g *Gate) untilTrial(now time.Time) time.Duration {
+	if g.trial {
+		return trialRunning
 	}
+	return max(g.nextTrial.Sub(now), 0)
 }
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -19,6 +19,9 @@
 	useCost = 0.15
 	// coldCost is the cost of a server that is slow after its start.
 	coldCost = 0.15
+	// freshReport is the age up to which a report is taken as the node's answer,
+	// a little more than the longest time between two beacons.
+	freshReport = 1200 * time.Millisecond
 	// usualDoubt is the doubt about a server that has not reported.
 	usualDoubt = 0.2
 	// doubtMemory and loadMemory are the times within which a report loses most
@@ -47,8 +50,11 @@
 // Query describes the request that needs a server.
 type Query struct {
 	Idempotent bool
+	Priority   int
 	// Objective is the latency objective that is left.
 	Objective time.Duration
+	// Patience is the longest expected wait for a slot; 0 for not at all.
+	Patience time.Duration
 	// Exclude reports candidates that the request has tried already.
 	Exclude func(id string) bool
 }
@@ -71,9 +77,6 @@
 	// until is the end of the pause after a refusal or a failed connection.
 	until time.Time
 	pause time.Duration
-	// refusesOnce is the end of the time for which the node runs no
-	// non-idempotent requests.
-	refusesOnce time.Time
 }
 
 // New returns a picker for an entry in a data centre.
@@ -105,14 +108,21 @@
 	return best, true
 }
 
-// Soonest returns the time until the first of the candidates ends its pause.
+// Soonest returns the time after which one of the candidates may take work.
 func (p *Picker) Soonest(now time.Time, candidates []Candidate) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	soonest := MaxPause
 	for i := range candidates {
 		s := p.state(candidates[i].ID)
-		soonest = min(soonest, max(s.until.Sub(now), s.refusesOnce.Sub(now), 0))
+		after := s.until.Sub(now)
+		if s.load.Open {
+			after = max(after, s.load.Wait(gate.Levels, s.sent))
+		}
+		if !s.load.Healthy() {
+			after = max(after, s.load.Trial)
+		}
+		soonest = min(soonest, max(after, 0))
 	}
 	return soonest
 }
@@ -131,7 +141,17 @@
 	if now.Before(s.until) {
 		return false
 	}
-	return q.Idempotent || !now.Before(s.refusesOnce)
+	age := now.Sub(s.reported)
+	if s.reported.IsZero() || age > freshReport {
+		return true
+	}
+	if !s.load.Open {
+		return false
+	}
+	if !s.load.Healthy() && (!q.Idempotent || age < s.load.Trial || s.sent > 0) {
+		return false
+	}
+	return s.load.Wait(q.Priority, s.sent) <= q.Patience
 }
 
 func (s *state) cost(now time.Time, q Query) float64 {
@@ -139,26 +159,27 @@
 	if q.Idempotent {
 		loss = LossIfRepeatable
 	}
+	load, doubt := s.load, usualDoubt
 	if s.reported.IsZero() {
-		return loss*usualDoubt + s.busy(usualSlots, usualService, float64(s.sent), q)
+		load = gate.Load{Slots: usualSlots, Service: usualService}
+	} else {
+		age := now.Sub(s.reported).Seconds()
+		doubt += (load.Doubt - usualDoubt) * math.Exp(-age/doubtMemory.Seconds())
+		load.Running = int(float64(load.Running) * math.Exp(-age/loadMemory.Seconds()))
 	}
-	age := now.Sub(s.reported)
-	doubt := usualDoubt + (s.load.Doubt-usualDoubt)*math.Exp(-age.Seconds()/doubtMemory.Seconds())
-	running := float64(s.load.Running+s.load.Waiting)*math.Exp(-age.Seconds()/loadMemory.Seconds()) + float64(s.sent)
-	cost := loss*doubt + s.busy(max(s.load.Slots, 1), s.load.Service, running, q)
-	if s.load.Cold {
+	cost := loss*doubt + s.busy(load, q)
+	if load.Cold {
 		cost += coldCost
 	}
 	return cost
 }
 
 // busy returns the cost of the expected use and wait.
-func (s *state) busy(slots int, service time.Duration, running float64, q Query) float64 {
-	use := min((running+1)/float64(slots), 1)
+func (s *state) busy(load gate.Load, q Query) float64 {
+	use := min(float64(load.Running+s.sent+1)/float64(max(load.Slots, 1)), 1)
 	cost := useCost * use * use
-	if ahead := running + 1 - float64(slots); ahead > 0 && q.Objective > 0 {
-		wait := ahead / float64(slots) * service.Seconds()
-		cost += wait / q.Objective.Seconds()
+	if q.Objective > 0 {
+		cost += load.Wait(q.Priority, s.sent).Seconds() / q.Objective.Seconds()
 	}
 	return cost
 }
@@ -179,26 +200,20 @@
 	defer p.mu.Unlock()
 	s := p.state(id)
 	s.load, s.reported, s.sent, s.pause = load, now, 0, 0
-	s.refusesOnce = time.Time{}
 	if load.Open {
 		s.until = time.Time{}
 	}
 }
 
-// Refused takes the refusal of a node and the time after which it may take the
-// request.
-func (p *Picker) Refused(now time.Time, id string, refusal gate.Refusal, after time.Duration) {
+// Refused takes the refusal of a node without a server that takes work. Other
+// refusals come with a report that says enough.
+func (p *Picker) Refused(now time.Time, id string, refusal gate.Refusal) {
+	if refusal != gate.Closed {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(id)
-	switch refusal {
-	case gate.Closed:
-		s.pauseFrom(now)
-	case gate.Doubtful:
-		s.refusesOnce = now.Add(min(after, MaxPause))
-	case gate.Busy, gate.NotRefused:
-		// The report that came with the refusal says enough.
-	}
+	p.state(id).pauseFrom(now)
 }
 
 // Unreachable takes a failed connection.
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -21,12 +21,8 @@
 	quickHops = 3
 	// maxHops bounds the nodes that one request is sent to.
 	maxHops = 10
-	// holdShare is the part of the latency objective for which a request is
-	// held while no server takes it. Longer holding costs callers more than
-	// coming back.
-	holdShare = 1.0 / 8
 	// holdStep is the time between two looks for a server that takes a request.
-	holdStep = 40 * time.Millisecond
+	holdStep = 25 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -43,7 +39,7 @@
 	e := x.entry
 	e.budget(x.service).Fresh(x.started)
 	var last *httpconn.Answer
-	hold := x.started.Add(time.Duration(holdShare * float64(x.objective.Sub(x.started))))
+	hold := x.started.Add(gate.PatienceOf(x.objective.Sub(x.started), x.deadline.Sub(x.started)))
 	for hops := 0; hops < maxHops; {
 		if ctx.Err() != nil {
 			break
@@ -83,11 +79,14 @@
 	now := time.Now()
 	query := pick.Query{
 		Idempotent: x.request.idempotent,
+		Priority:   x.request.priority,
 		Objective:  x.objective.Sub(x.started),
+		Patience:   x.patience(now),
 		Exclude:    func(id string) bool { _, tried := x.tried[id]; return tried },
 	}
 	i, ok := e.picker.Choose(now, rand.Float64, pool.Candidates, query)
 	if !ok && x.startWaiting() {
+		query.Patience = x.patience(now)
 		i, ok = e.picker.Choose(now, rand.Float64, pool.Candidates, query)
 	}
 	if !ok {
@@ -134,9 +133,7 @@
 	r.arrived = now
 	r.left = x.deadline.Sub(now)
 	r.objective = x.objective.Sub(now)
-	if x.waiting {
-		r.patience = x.patience(now, r.terms)
-	}
+	r.patience = x.patience(now)
 	if member.ID == e.settings.Node {
 		return e.host.serve(ctx, &r), nil
 	}
@@ -156,8 +153,11 @@
 
 // patience returns how long the request may wait for a slot. A stopping node
 // leaves its requests time to run.
-func (x *exchange) patience(now time.Time, t terms) time.Duration {
-	patience := gate.PatienceOf(t.objective, t.left)
+func (x *exchange) patience(now time.Time) time.Duration {
+	if !x.waiting {
+		return 0
+	}
+	patience := gate.PatienceOf(x.objective.Sub(now), x.deadline.Sub(now))
 	if end := x.view.StopAt; !end.IsZero() {
 		patience = min(patience, time.Duration(stopWaitShare*float64(end.Sub(now))))
 	}
@@ -209,7 +209,7 @@
 		return x.request.idempotent && x.mayRepeat(now), nil
 	case reply.refused != nil:
 		x.note(member, reply.refused.reason.String())
-		e.picker.Refused(now, member.ID, reply.refused.reason, reply.refused.after)
+		e.picker.Refused(now, member.ID, reply.refused.reason)
 		x.tried[member.ID] = reply.refused.reason != gate.Busy || x.waiting
 		return true, nil
 	case reply.answer == nil:
--- a/internal/sidecar/board.go
+++ b/internal/sidecar/board.go
@@ -15,8 +15,10 @@
 // Member is a node as the others know it. Its row in the table of members holds
 // it as JSON.
 type Member struct {
-	ID         string `json:"id"`
+	ID string `json:"id"`
+	// Addr takes hops, Beacon the datagrams of other nodes.
 	Addr       string `json:"addr"`
+	Beacon     string `json:"beacon"`
 	DataCentre string `json:"dc"`
 	Region     string `json:"region"`
 	Service    string `json:"service"`
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -297,7 +297,7 @@
 	e.log.Info("request",
 		zap.String("request", x.request.id),
 		zap.String("route", x.route.ID),
-		zap.String("service", x.service),
+		zap.String("target_service", x.service),
 		zap.Int("status", status),
 		zap.Int("code", code),
 		zap.NamedError("reason", err),
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -91,11 +91,24 @@
 const doubtScale = 1000
 
 func (r report) encode() string {
-	return fmt.Sprintf("%d;%d;%d;%d;%d;%d;%d;%d", bit(r.Open), r.Running, r.Waiting, r.Slots,
-		int(r.Doubt*doubtScale), r.Service.Milliseconds(), bit(r.Cold), r.version)
+	numbers := []int64{
+		int64(bit(r.Open)), int64(r.Running), int64(r.Slots), int64(r.Doubt * doubtScale),
+		r.Service.Milliseconds(), int64(bit(r.Cold)), r.Trial.Milliseconds(), int64(r.version),
+	}
+	for _, waiting := range r.Waiting {
+		numbers = append(numbers, int64(waiting))
+	}
+	var text []byte
+	for i, n := range numbers {
+		if i > 0 {
+			text = append(text, ';')
+		}
+		text = strconv.AppendInt(text, n, 10)
+	}
+	return string(text)
 }
 
-const reportFields = 8
+const reportFields = 8 + gate.Levels
 
 func decodeReport(text string) (report, bool) {
 	fields := strings.Split(text, ";")
@@ -110,18 +123,22 @@
 		}
 		n[i] = value
 	}
-	return report{
+	r := report{
 		Load: gate.Load{
 			Open:    n[0] == 1,
 			Running: int(n[1]),
-			Waiting: int(n[2]),
-			Slots:   int(n[3]),
-			Doubt:   float64(n[4]) / doubtScale,
-			Service: time.Duration(n[5]) * time.Millisecond,
-			Cold:    n[6] == 1,
+			Slots:   int(n[2]),
+			Doubt:   float64(n[3]) / doubtScale,
+			Service: time.Duration(n[4]) * time.Millisecond,
+			Cold:    n[5] == 1,
+			Trial:   time.Duration(n[6]) * time.Millisecond,
 		},
 		version: uint64(n[7]),
-	}, true
+	}
+	for i := range r.Waiting {
+		r.Waiting[i] = int(n[8+i])
+	}
+	return r, true
 }
 
 func bit(b bool) int {
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -207,7 +207,7 @@
 		zap.Int("status", status),
 		zap.String("error", reply.failed),
 		zap.Int("running", reply.report.Running),
-		zap.Int("waiting", reply.report.Waiting),
+		zap.Ints("waiting", reply.report.Waiting[:]),
 		zap.Float64("doubt", reply.report.Doubt),
 		zap.Bool("idempotent", r.idempotent),
 		zap.Uint64("entry_config", r.version),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -71,6 +71,7 @@
 	peers    *httpconn.Pool
 	syncer   *syncer
 	entry    *entry
+	beacons  *beacons
 	// lifetime ends with the process.
 	lifetime context.Context
 	end      context.CancelFunc
@@ -81,9 +82,11 @@
 // New builds a node.
 func New(parts Parts) *Node {
 	s := parts.Settings
-	n := &Node{parts: parts, settings: s, log: parts.Telemetry.Log, gate: gate.New(time.Now())}
+	n := &Node{parts: parts, settings: s, log: parts.Telemetry.Log}
+	n.beacons = &beacons{incarnation: time.Now().UnixMilli(), dirty: make(chan struct{}, 1), order: beaconOrder{last: map[string][2]int64{}}}
+	n.gate = gate.New(time.Now(), n.beacons.changed)
 	n.lifetime, n.end = context.WithCancel(context.Background())
-	self := Member{ID: s.Node, Addr: s.Inbound, DataCentre: s.DataCentre, Region: s.Region, Service: s.Service}
+	self := Member{ID: s.Node, Addr: s.Inbound, Beacon: s.Beacon, DataCentre: s.DataCentre, Region: s.Region, Service: s.Service}
 	n.board = NewBoard(self, n.changed)
 	n.picker = pick.New(s.DataCentre, s.Region)
 	n.splitter = route.NewSplitter()
@@ -115,6 +118,8 @@
 			log: n.log, telemetry: parts.Telemetry, onForeign: n.forget,
 		},
 	}
+	n.beacons.self, n.beacons.board, n.beacons.gate, n.beacons.picker = self, n.board, n.gate, n.picker
+	n.beacons.log, n.beacons.onVersion = n.log, n.heard
 	return n
 }
 
@@ -186,7 +191,12 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if err := n.beacons.open(); err != nil {
+		return trace.Wrap(err)
+	}
 	group, ctx := errgroup.WithContext(n.lifetime)
+	group.Go(n.beacons.receive)
+	group.Go(func() error { n.beacons.run(ctx); return nil })
 	for i := range servers {
 		group.Go(func() error {
 			if err := servers[i].Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
@@ -209,6 +219,7 @@
 		for _, server := range servers {
 			server.Close()
 		}
+		n.beacons.conn.Close()
 		n.end()
 		return nil
 	})
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -24,8 +24,10 @@
 	// Ready answers whether callers may use the node; Registration takes the
 	// reports of the server.
 	Ready, Registration string
-	// PeerPorts are the first and the last port free for the fleet's own use.
-	PeerPorts []int
+	// Beacon takes the datagrams of other nodes.
+	Beacon string
+	// Metrics serves the counters and histograms; empty for none.
+	Metrics string
 	// StoreAddr is the address of the platform's store.
 	StoreAddr string
 	// FirstStart is true when the whole fleet starts for the first time.
@@ -45,7 +47,7 @@
 func (s Settings) Check() error {
 	for name, addr := range map[string]string{
 		"outbound": s.Outbound, "inbound": s.Inbound, "ready": s.Ready,
-		"registration": s.Registration, "server": s.ServerAddr, "store": s.StoreAddr,
+		"registration": s.Registration, "beacon": s.Beacon, "server": s.ServerAddr, "store": s.StoreAddr,
 	} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return trace.BadParameter("the %s address %q is not host:port", name, addr)
