Ask far nodes only with a slot to spare, and weigh the way by the answer's size

Change: a far node is asked for a free slot only if its report shows two, and for a trial only when the request waits anyway; the cost of the way rises with the mean answer size of the route.

--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -13,7 +13,7 @@
 // can run again elsewhere. doubt drifts to the usual share of failing servers as
 // the report ages. wait is the expected time until a slot is free, counted from
 // the report and the requests sent since. way is the price of another data
-// centre or region.
+// centre or region, which rises with the size of the answer.
 //
 // A candidate that refused is left out until the time that it named; one that
 // cannot be reached is left out for a pause that doubles up to MaxPause.
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -11,9 +11,11 @@
 const (
 	// LossIfRepeatable is the cost of a failed run of an idempotent request.
 	LossIfRepeatable = 0.35
-	// otherDataCentre and otherRegion are the costs of the way.
-	otherDataCentre = 0.12
-	otherRegion     = 0.3
+	// otherDataCentre and otherRegion are the costs of the way, and perKilobyte
+	// those of the answer's bytes on it.
+	otherDataCentre = 0.04
+	otherRegion     = 0.2
+	perKilobyte     = 0.025
 	// useCost is the cost of the last free slot, since servers slow down as
 	// they fill.
 	useCost = 0.15
@@ -55,6 +57,8 @@
 	Objective time.Duration
 	// Patience is the longest expected wait for a slot; 0 for not at all.
 	Patience time.Duration
+	// AnswerBytes is the expected size of the answer.
+	AnswerBytes int
 	// Exclude reports candidates that the request has tried already.
 	Exclude func(id string) bool
 }
@@ -93,10 +97,10 @@
 	for i := range candidates {
 		c := &candidates[i]
 		s := p.state(c.ID)
-		if !s.takes(now, q) || q.Exclude != nil && q.Exclude(c.ID) {
+		if !s.takes(now, q, c.DataCentre != p.dataCentre) || q.Exclude != nil && q.Exclude(c.ID) {
 			continue
 		}
-		cost := s.cost(now, q) + p.way(c) + tieBreak*random()
+		cost := s.cost(now, q) + p.way(c, q) + tieBreak*random()
 		if cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -137,7 +141,7 @@
 }
 
 // takes reports whether the node is not known to refuse the request.
-func (s *state) takes(now time.Time, q Query) bool {
+func (s *state) takes(now time.Time, q Query, far bool) bool {
 	if now.Before(s.until) {
 		return false
 	}
@@ -148,10 +152,15 @@
 	if !s.load.Open {
 		return false
 	}
-	if !s.load.Healthy() && (!q.Idempotent || age < s.load.Trial || s.sent > 0) {
+	if !s.load.Healthy() && (!q.Idempotent || age < s.load.Trial || s.sent > 0 || far && q.Patience == 0) {
 		return false
 	}
-	return s.load.Wait(q.Priority, s.sent) <= q.Patience
+	further := s.sent
+	if far && q.Patience == 0 {
+		// Reports from afar are older, and a vain hop is dearer.
+		further++
+	}
+	return s.load.Wait(q.Priority, further) <= q.Patience
 }
 
 func (s *state) cost(now time.Time, q Query) float64 {
@@ -184,14 +193,15 @@
 	return cost
 }
 
-func (p *Picker) way(c *Candidate) float64 {
+func (p *Picker) way(c *Candidate, q Query) float64 {
+	bytes := perKilobyte * float64(q.AnswerBytes) / 1024
 	switch {
 	case c.DataCentre == p.dataCentre:
 		return 0
 	case c.Region == p.region:
-		return otherDataCentre
+		return otherDataCentre + bytes
 	}
-	return otherRegion
+	return otherRegion + bytes
 }
 
 // Report takes the load that a node sent.
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -78,11 +78,12 @@
 	}
 	now := time.Now()
 	query := pick.Query{
-		Idempotent: x.request.idempotent,
-		Priority:   x.request.priority,
-		Objective:  x.objective.Sub(x.started),
-		Patience:   x.patience(now),
-		Exclude:    func(id string) bool { _, tried := x.tried[id]; return tried },
+		Idempotent:  x.request.idempotent,
+		Priority:    x.request.priority,
+		Objective:   x.objective.Sub(x.started),
+		Patience:    x.patience(now),
+		AnswerBytes: e.sizes.of(x.route.ID),
+		Exclude:     func(id string) bool { _, tried := x.tried[id]; return tried },
 	}
 	i, ok := e.picker.Choose(now, rand.Float64, pool.Candidates, query)
 	if !ok && x.startWaiting() {
@@ -229,6 +230,9 @@
 		return x.mayRepeat(now), answer
 	}
 	x.attempts++
+	if answer.Status < http.StatusMultipleChoices {
+		x.entry.sizes.observe(x.route.ID, len(answer.Body))
+	}
 	if answer.Status >= http.StatusInternalServerError && x.request.idempotent {
 		return x.mayRepeat(now), answer
 	}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -43,6 +43,7 @@
 	host      *host
 	picker    *pick.Picker
 	splitter  *route.Splitter
+	sizes     answerSizes
 	peers     *httpconn.Pool
 	headers   Headers
 	log       *zap.Logger
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -112,7 +112,7 @@
 	n.entry = &entry{
 		settings: s, board: n.board, picker: n.picker, splitter: n.splitter, peers: n.peers,
 		headers: parts.Headers, log: n.log, telemetry: parts.Telemetry,
-		onVersion: n.heard, budgets: map[string]*route.SharedBudget{},
+		onVersion: n.heard, sizes: answerSizes{mean: map[string]float64{}}, budgets: map[string]*route.SharedBudget{},
 		host: &host{
 			board: n.board, gate: n.gate, pool: n.servers, headers: parts.Headers, addr: s.ServerAddr,
 			log: n.log, telemetry: parts.Telemetry, onForeign: n.forget,
