Do not doubt a server for a failure that follows its own failed call

Change: the gate takes failed requests that began on its instance, and one failure within 50 ms of it is no evidence.

--- a/internal/gate/doc.go
+++ b/internal/gate/doc.go
@@ -17,6 +17,10 @@
 // because it can be sent to another one when it fails. A refusal reaches no
 // server, so it costs neither an attempt nor the retry budget.
 //
+// A server also fails a request when a call that it made for it failed elsewhere.
+// Calls leave through the node beside the server, so a failure right after a
+// failed call is no evidence.
+//
 // # Slots
 //
 // A request runs if a slot is free. Otherwise it may wait, in the order of
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -16,6 +16,9 @@
 	meanWeight = 1.0 / 8
 	// initialService is the mean service time before the first result.
 	initialService = 300 * time.Millisecond
+	// excuseWindow is the time after a failed call of the server within which
+	// its own failure is put down to that call.
+	excuseWindow = 50 * time.Millisecond
 	// maxWaiting bounds the requests that wait, as a multiple of the slots.
 	maxWaiting = 4
 )
@@ -147,6 +150,9 @@
 	trial     bool
 	nextTrial time.Time
 	service   time.Duration
+	// callFailed is the time of the newest failed call of the server that has
+	// not excused a failure yet.
+	callFailed time.Time
 	onChange  func()
 }
 
@@ -289,11 +295,30 @@
 	if evidence == Success {
 		g.service += time.Duration(meanWeight * float64(now.Sub(ticket.started)-g.service))
 	}
+	if evidence == Failure && g.excused(now) {
+		evidence = None
+	}
 	g.observe(now, evidence)
 	g.startWaiting(now)
 	g.onChange()
 }
 
+// CallFailed takes the failure of a request that began on the server's instance,
+// which may be a call that a running request needs.
+func (g *Gate) CallFailed(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.callFailed = now
+}
+
+// excused reports whether a failure follows a failed call of the server, which
+// then says little about the server itself.
+func (g *Gate) excused(now time.Time) bool {
+	excused := !g.callFailed.IsZero() && now.Sub(g.callFailed) <= excuseWindow
+	g.callFailed = time.Time{}
+	return excused
+}
+
 // Stalled takes evidence of a request that has not ended yet.
 func (g *Gate) Stalled(now time.Time) {
 	g.mu.Lock()
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -244,6 +244,9 @@
 	if e.board.View().Leaving {
 		header.Set("Connection", "close")
 	}
+	if answer.Status >= http.StatusInternalServerError {
+		e.host.gate.CallFailed(time.Now())
+	}
 	w.WriteHeader(answer.Status)
 	_, err := w.Write(answer.Body)
 	e.finish(x, answer.Status, 0, err)
@@ -273,6 +276,7 @@
 	if e.board.View().Leaving || err.Code.Number == codes.BadRequest.Number {
 		header.Set("Connection", "close")
 	}
+	e.host.gate.CallFailed(time.Now())
 	problem.Write(w, x.request.id, err)
 	e.finish(x, err.Code.Status, err.Code.Number, err)
 }
