Send the last allowed attempt of a request to the soundest server

Change: a run whose failure no further attempt can make good counts as a whole loss, and is no trial.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -153,7 +153,7 @@
 	// callFailed is the time of the newest failed call of the server that has
 	// not excused a failure yet.
 	callFailed time.Time
-	onChange  func()
+	onChange   func()
 }
 
 // New returns a closed gate. onChange is called after each change of the load,
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -55,6 +55,8 @@
 	Priority   int
 	// Objective is the latency objective that is left.
 	Objective time.Duration
+	// Last tells that a failure of this run cannot be made good elsewhere.
+	Last bool
 	// Patience is the longest expected wait for a slot; 0 for not at all.
 	Patience time.Duration
 	// AnswerBytes is the expected size of the answer.
@@ -152,7 +154,7 @@
 	if !s.load.Open {
 		return false
 	}
-	if !s.load.Healthy() && (!q.Idempotent || age < s.load.Trial || s.sent > 0 || far && q.Patience == 0) {
+	if !s.load.Healthy() && (!q.Idempotent || q.Last || age < s.load.Trial || s.sent > 0 || far && q.Patience == 0) {
 		return false
 	}
 	further := s.sent
@@ -165,7 +167,7 @@
 
 func (s *state) cost(now time.Time, q Query) float64 {
 	loss := 1.0
-	if q.Idempotent {
+	if q.Idempotent && !q.Last {
 		loss = LossIfRepeatable
 	}
 	load, doubt := s.load, usualDoubt
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -80,6 +80,7 @@
 	query := pick.Query{
 		Idempotent:  x.request.idempotent,
 		Priority:    x.request.priority,
+		Last:        x.attempts > 0 && x.attempts+1 >= x.route.MaxAttempts && x.route.MaxAttempts > 0,
 		Objective:   x.objective.Sub(x.started),
 		Patience:    x.patience(now),
 		AnswerBytes: e.sizes.of(x.route.ID),
