--- a/internal/gate/doubt.go
+++ b/internal/gate/doubt.go
@@ -10,8 +10,6 @@
 const (
 	failureInSpell   = 0.85
 	failureOutOfIt   = 0.02
-	shedInSpell      = 0.5
-	shedOutOfIt      = 0.1
 	stallInSpell     = 0.5
 	stallOutOfIt     = 0.05
 	minDoubt         = 0.001
@@ -41,7 +39,8 @@
 	Success
 	// Failure is a server error, a broken answer or none.
 	Failure
-	// Shed is a refusal of the server to run the request.
+	// Shed is a refusal of the server to run the request. Nothing is lost by it,
+	// and a busy server sheds as well as a failing one.
 	Shed
 	// Stall is a request that takes unusually long and has not ended yet.
 	Stall
@@ -99,8 +98,6 @@
 		return 1 - failureInSpell, 1 - failureOutOfIt
 	case Failure:
 		return failureInSpell, failureOutOfIt
-	case Shed:
-		return shedInSpell, shedOutOfIt
 	case Stall:
 		return stallInSpell, stallOutOfIt
 	}
