--- /dev/null
+++ b/internal/registration/registration_test.go
@@ -0,0 +1,126 @@
+package registration
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func report(id string, born int64, sequence uint64) Report {
+	return Report{ID: id, Born: born, Sequence: sequence, Service: "measures", Addr: "10.0.0.1:80", Slots: 6}
+}
+
+func leaving(r Report) Report {
+	r.Leaving = true
+	return r
+}
+
+func TestALateReportDoesNotTakeBackALeave(t *testing.T) {
+	g := NewWithT(t)
+	r := New("measures")
+	r.Heartbeat(start, leaving(report("a", 100, 5)))
+	r.Heartbeat(start, report("a", 100, 4))
+	r.Heartbeat(start, report("a", 100, 6))
+	server, _ := r.Current()
+	g.Expect(server.Leaving).To(BeTrue())
+}
+
+func TestADeregisteredServerStaysGone(t *testing.T) {
+	g := NewWithT(t)
+	r := New("measures")
+	r.Heartbeat(start, report("a", 100, 5))
+	r.Deregister("a", 0)
+	r.Heartbeat(start, report("a", 100, 6))
+	server, _ := r.Current()
+	g.Expect(server.Leaving).To(BeTrue())
+}
+
+// Guards against a heartbeat that a partition held up until its sender had
+// crashed and another server had taken the address.
+func TestAReportOfADeadIncarnationIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	r := New("measures")
+	r.Heartbeat(start, report("new", 200, 1))
+	g.Expect(r.Heartbeat(start, report("old", 100, 9))).To(BeTrue(), "it is acknowledged, so that it is not sent again")
+	server, _ := r.Current()
+	g.Expect(server.ID).To(Equal("new"))
+}
+
+func TestAServerMayStartAgainUnderItsID(t *testing.T) {
+	g := NewWithT(t)
+	r := New("measures")
+	r.Heartbeat(start, leaving(report("a", 100, 50)))
+	r.Heartbeat(start, report("a", 200, 1))
+	server, _ := r.Current()
+	g.Expect(server.Leaving).To(BeFalse())
+	g.Expect(server.Born).To(Equal(int64(200)))
+}
+
+// A node that was restarted learns from its store what left before.
+func TestARestoredLeaveHolds(t *testing.T) {
+	g := NewWithT(t)
+	for _, restoreFirst := range []bool{true, false} {
+		r := New("measures")
+		if restoreFirst {
+			r.Restore(Incarnation{ID: "a", Born: 100})
+		}
+		r.Heartbeat(start, report("a", 100, 4))
+		if !restoreFirst {
+			r.Restore(Incarnation{ID: "a", Born: 100})
+		}
+		server, _ := r.Current()
+		g.Expect(server.Leaving).To(BeTrue())
+	}
+}
+
+func TestReportsThatNameNoServerAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	r := New("measures")
+	other := report("a", 100, 1)
+	other.Service = "bookings"
+	noSlots := report("a", 100, 1)
+	noSlots.Slots = 0
+	noAddr := report("a", 100, 1)
+	noAddr.Addr = ""
+	for _, bad := range []Report{other, noSlots, noAddr} {
+		g.Expect(r.Heartbeat(start, bad)).To(BeFalse())
+	}
+	_, known := r.Current()
+	g.Expect(known).To(BeFalse())
+}
+
+// In any order of arrival, the newest incarnation is current once its first
+// report arrived, and one that left never takes work again.
+func TestAnyOrderOfReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New("measures")
+		left := map[int64]bool{}
+		newest := int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "reports") {
+			born := int64(rapid.IntRange(1, 3).Draw(t, "born"))
+			next := report("a", born, uint64(rapid.IntRange(1, 9).Draw(t, "sequence")))
+			server, known := r.Current()
+			current := known && server.Born == born
+			if rapid.IntRange(0, 9).Draw(t, "leave") == 0 {
+				next = leaving(next)
+				// A report that is late does not count, whatever it says.
+				if !known || born > server.Born || current && next.Sequence > r.sequence {
+					left[born] = true
+				}
+			}
+			r.Heartbeat(start, next)
+			newest = max(newest, born)
+			server, _ = r.Current()
+			if server.Born != newest {
+				t.Fatalf("incarnation %d is current, %d is the newest", server.Born, newest)
+			}
+			if left[server.Born] && !server.Leaving {
+				t.Fatalf("incarnation %d left and takes work", server.Born)
+			}
+		}
+	})
+}
