--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -148,9 +148,14 @@
 	if p.options.UserTimeout <= 0 {
 		return nil
 	}
+	return SetUserTimeout(raw, p.options.UserTimeout)
+}
+
+// SetUserTimeout ends a connection whose sent bytes are not acknowledged in time.
+func SetUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(p.options.UserTimeout.Milliseconds()))
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
 	})
 	if controlErr != nil {
 		return controlErr
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -29,8 +29,6 @@
 	// stopWaitShare is the part of the time until the stop limit for which the
 	// requests of a stopping node may wait.
 	stopWaitShare = 0.4
-	// peerIdle is how long a connection to another node may have been idle.
-	peerIdle = 20 * time.Second
 )
 
 // run sends the request to servers until one answers or the exchange is given
@@ -144,8 +142,8 @@
 	e.headers.Strip(header)
 	stripHop(header)
 	header[headerHop] = []string{r.encode()}
-	answer, err := e.peers.Do(ctx, member.Addr, &httpconn.Request{
-		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, ID: r.id, MaxIdle: peerIdle,
+	answer, err := e.peers.do(ctx, member.Addr, &httpconn.Request{
+		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, ID: r.id,
 	})
 	if err != nil {
 		return nil, err
@@ -204,7 +202,6 @@
 		x.note(member, "lost")
 		if ctx.Err() == nil {
 			e.picker.Unreachable(now, member.ID)
-			e.peers.Drop(member.Addr)
 		}
 		x.tried[member.ID] = true
 		x.attempts++
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -44,7 +44,7 @@
 	picker    *pick.Picker
 	splitter  *route.Splitter
 	sizes     answerSizes
-	peers     *httpconn.Pool
+	peers     *peerClient
 	headers   Headers
 	log       *zap.Logger
 	telemetry *telemetry.Telemetry
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -170,7 +170,7 @@
 // stripHop removes the headers of a hop, so that neither callers nor servers
 // can send them.
 func stripHop(h http.Header) {
-	for _, name := range []string{headerHop, headerLoad, headerRefused, headerFailed, headerState} {
+	for _, name := range []string{headerHop, headerLoad, headerRefused, headerFailed, headerState, headerTarget} {
 		delete(h, name)
 	}
 }
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -50,7 +50,7 @@
 		return
 	}
 	request := &hopRequest{
-		terms: t, id: i.headers.RequestID(r.Header), method: r.Method, target: r.RequestURI,
+		terms: t, id: i.headers.RequestID(r.Header), method: r.Method, target: hopTarget(r),
 		host: r.Host, header: r.Header, body: body, arrived: arrived,
 	}
 	if t.service != i.service {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -22,14 +22,10 @@
 
 const (
 	// serverDialTimeout bounds a connection to the own server, which is on the
-	// same instance; peerDialTimeout one to another node, some milliseconds away.
+	// same instance.
 	serverDialTimeout = time.Second
-	peerDialTimeout   = 400 * time.Millisecond
-	// peerUserTimeout ends a connection to a node that acknowledges nothing.
-	peerUserTimeout = 1500 * time.Millisecond
-	// idlePerServer and idlePerPeer bound the kept connections.
+	// idlePerServer bounds the kept connections.
 	idlePerServer = 32
-	idlePerPeer   = 16
 	// maxAnswer bounds an answer in bytes, which a node holds whole.
 	maxAnswer = 16 << 20
 	// headerTime bounds the arrival of a header.
@@ -68,7 +64,7 @@
 	picker   *pick.Picker
 	splitter *route.Splitter
 	servers  *httpconn.Pool
-	peers    *httpconn.Pool
+	peers    *peerClient
 	syncer   *syncer
 	entry    *entry
 	beacons  *beacons
@@ -97,14 +93,7 @@
 		MaxAnswer:   maxAnswer,
 		IDHeader:    parts.RequestIDHeader,
 	})
-	n.peers = httpconn.NewPool(httpconn.Options{
-		DialTimeout: peerDialTimeout,
-		UserTimeout: peerUserTimeout,
-		IdleTime:    peerIdle,
-		IdlePerAddr: idlePerPeer,
-		MaxAnswer:   maxAnswer,
-		IDHeader:    parts.RequestIDHeader,
-	})
+	n.peers = newPeerClient()
 	n.syncer = &syncer{
 		self: self, settings: s, board: n.board, source: parts.Source,
 		configuration: parts.Configuration, peers: n.peers, log: n.log,
@@ -250,10 +239,13 @@
 			return nil, nil, trace.Wrap(err)
 		}
 		listeners = append(listeners, listener)
-		servers = append(servers, &http.Server{
+		server := &http.Server{
 			Handler: h.handler, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdleTime,
-			ErrorLog: zap.NewStdLog(n.log),
-		})
+			ErrorLog: zap.NewStdLog(n.log), Protocols: new(http.Protocols),
+		}
+		server.Protocols.SetHTTP1(h.addr != n.settings.Inbound)
+		server.Protocols.SetUnencryptedHTTP2(h.addr == n.settings.Inbound)
+		servers = append(servers, server)
 	}
 	return servers, listeners, nil
 }
@@ -275,7 +267,6 @@
 			return
 		case now := <-ticker.C:
 			n.servers.Prune(now)
-			n.peers.Prune(now)
 			members := n.board.View().Members
 			n.picker.Keep(func(id string) bool { _, ok := members[id]; return ok })
 		}
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -58,7 +58,7 @@
 	board         *Board
 	source        Source
 	configuration Configuration
-	peers         *httpconn.Pool
+	peers         *peerClient
 	log           *zap.Logger
 	// asking is set while another node is asked for its state.
 	asking atomic.Bool
@@ -290,8 +290,8 @@
 func (s *syncer) askPeer(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerStateTimeout)
 	defer cancel()
-	answer, err := s.peers.Do(ctx, addr, &httpconn.Request{
-		Method: http.MethodGet, Target: "/", Host: addr, Header: http.Header{headerState: {"1"}}, MaxIdle: peerIdle,
+	answer, err := s.peers.do(ctx, addr, &httpconn.Request{
+		Method: http.MethodGet, Target: "/", Host: addr, Header: http.Header{headerState: {"1"}},
 	})
 	if err != nil {
 		return trace.Wrap(err)
