Refuse at the server only what is most likely lost, and try doubtful servers sooner

Cause: at a doubt of 0.4 the node beside a server refused work for which no better server had room, and a failed trial kept a recovered server out for 0.3 s. Change: RunOnceDoubt 0.4 to 0.7, trialPause 300 to 150 ms; below that the entry's choice weighs the doubt.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -9,9 +9,9 @@
 const (
 	// RunOnceDoubt is the doubt above which a server runs no non-idempotent
 	// request.
-	RunOnceDoubt = 0.4
+	RunOnceDoubt = 0.7
 	// trialPause is the time between the failure of a trial and the next one.
-	trialPause = 300 * time.Millisecond
+	trialPause = 150 * time.Millisecond
 	// meanWeight is the weight of one request in the mean service time.
 	meanWeight = 1.0 / 8
 	// initialService is the mean service time before the first result.
