--- a/cmd/tarragon-sidecar/main.go
+++ b/cmd/tarragon-sidecar/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -70,18 +69,7 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewStore(config.StoreAddr)
-	store.Count = countCalls(t.Metrics)
-	node := sidecar.New(sidecar.Parts{
-		Settings:            config,
-		Source:              store,
-		Configuration:       platform.Configuration(),
-		Headers:             platform.Headers{},
-		RequestIDHeader:     platform.RequestIDHeader,
-		ReadyHandler:        platform.ReadyHandler,
-		RegistrationHandler: func(n *sidecar.Node) http.Handler { return platform.RegistrationHandler(n) },
-		Telemetry:           t,
-	})
+	node := sidecar.New(platform.Parts(config, platform.NewStore(config.StoreAddr), t))
 	return node.Run(stopSignal(t.Log))
 }
 
@@ -103,13 +91,3 @@
 	}()
 	return stop
 }
-
-func countCalls(metrics *telemetry.Metrics) func(string, error) {
-	return func(operation string, err error) {
-		result := "ok"
-		if err != nil {
-			result = "error"
-		}
-		metrics.PlatformCalls.Inc(telemetry.PlatformCall{Operation: operation, Result: result})
-	}
-}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -144,6 +144,10 @@
 // registrationTime bounds the wait of a report for the control goroutine.
 const registrationTime = 500 * time.Millisecond
 
+// TakeConfiguration puts an encoded configuration in force if it is newer than
+// the current one.
+func (n *Node) TakeConfiguration(document []byte) { n.syncer.takeDocument(document, "call") }
+
 // Heartbeat takes a report of the own server.
 func (n *Node) Heartbeat(report registration.Report) bool {
 	taken := false
@@ -173,6 +177,9 @@
 	n.board.posts <- func(s *state) { s.registry.Forget(incarnation) }
 }
 
+// Close ends Run at once, as a crash would.
+func (n *Node) Close() { n.end() }
+
 // Run serves until stop is closed, then stops gracefully.
 func (n *Node) Run(stop <-chan struct{}) error {
 	defer n.end()
