--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gorilla/mux"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -220,21 +221,33 @@
 		return nil
 	})
 	n.log.Info("started", zap.String("outbound", n.settings.Outbound), zap.String("inbound", n.settings.Inbound),
-		zap.String("server_service", n.settings.Service), zap.Bool("first_start", n.settings.FirstStart))
+		zap.String("server_service", n.settings.Service), zap.Bool("first_start", n.settings.FirstStart),
+		zap.String("metrics", n.settings.Metrics))
 	return group.Wait()
 }
 
+// pathMetrics serves the counters and histograms.
+const pathMetrics = "/metrics"
+
+// handled is the handler of a listener.
+type handled struct {
+	addr    string
+	handler http.Handler
+}
+
 func (n *Node) listen() ([]*http.Server, []net.Listener, error) {
 	hop := &inbound{host: n.entry.host, service: n.settings.Service, maxBody: maxAnswer, headers: n.parts.Headers, onVersion: n.heard}
-	handlers := []struct {
-		addr    string
-		handler http.Handler
-	}{
+	handlers := []handled{
 		{n.settings.Outbound, n.counted(n.entry)},
 		{n.settings.Inbound, n.counted(hop)},
 		{n.settings.Ready, n.parts.ReadyHandler(func() bool { return n.board.View().Ready() })},
 		{n.settings.Registration, n.parts.RegistrationHandler(n)},
 	}
+	if n.settings.Metrics != "" {
+		router := mux.NewRouter()
+		router.Handle(pathMetrics, n.parts.Telemetry.MetricsHandler()).Methods(http.MethodGet)
+		handlers = append(handlers, handled{n.settings.Metrics, router})
+	}
 	var servers []*http.Server
 	var listeners []net.Listener
 	for _, h := range handlers {
