Refuse late work of a stopping node by the time that it has left

Change: after the notice time a request needs an objective within 0.4 of the time left, tested again before each hop. The host cannot tell whether the entry of a hop stops as well, which makes the cut one of planned work.

--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -39,7 +39,7 @@
 	var last *httpconn.Answer
 	hold := x.started.Add(gate.PatienceOf(x.objective.Sub(x.started), x.deadline.Sub(x.started)))
 	for hops := 0; hops < maxHops; {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || x.attempts == 0 && x.fitsStop() != nil {
 			break
 		}
 		if hops == quickHops {
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -164,14 +164,12 @@
 // that still come after noticeTime have not noticed the stop; the calls that the
 // own server makes for its running work are short and go on.
 func (x *exchange) fitsStop() error {
-	end := x.view.StopAt
-	if end.IsZero() || x.started.Before(x.view.StopSince.Add(noticeTime)) {
+	left := time.Until(x.view.StopAt)
+	if x.view.StopAt.IsZero() || x.started.Before(x.view.StopSince.Add(noticeTime)) ||
+		x.objective.Sub(x.started) <= time.Duration(lateRunShare*float64(left)) {
 		return nil
 	}
-	if x.objective.Sub(x.started) <= time.Duration(stopRunShare*float64(end.Sub(x.started))) {
-		return nil
-	}
-	return codes.Leaving.New("the node stops in %v", end.Sub(x.started))
+	return codes.Leaving.New("the node stops in %v", left)
 }
 
 func (x *exchange) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -72,8 +72,8 @@
 	// lifetime ends with the process.
 	lifetime context.Context
 	end      context.CancelFunc
-	// inFlight counts the requests of callers and other nodes.
-	inFlight atomic.Int64
+	// callers and hops count the requests in flight.
+	callers, hops atomic.Int64
 }
 
 // New builds a node.
@@ -238,8 +238,8 @@
 func (n *Node) listen() ([]*http.Server, []net.Listener, error) {
 	hop := &inbound{host: n.entry.host, service: n.settings.Service, maxBody: maxAnswer, headers: n.parts.Headers, onVersion: n.heard}
 	handlers := []handled{
-		{n.settings.Outbound, n.counted(n.entry)},
-		{n.settings.Inbound, n.counted(hop)},
+		{n.settings.Outbound, counted(&n.callers, n.entry)},
+		{n.settings.Inbound, counted(&n.hops, hop)},
 		{n.settings.Ready, n.parts.ReadyHandler(func() bool { return n.board.View().Ready() })},
 		{n.settings.Registration, n.parts.RegistrationHandler(n)},
 	}
@@ -270,10 +270,10 @@
 	return servers, listeners, nil
 }
 
-func (n *Node) counted(handler http.Handler) http.Handler {
+func counted(inFlight *atomic.Int64, handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.inFlight.Add(1)
-		defer n.inFlight.Add(-1)
+		inFlight.Add(1)
+		defer inFlight.Add(-1)
 		handler.ServeHTTP(w, r)
 	})
 }
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -14,16 +14,16 @@
 	// stopMargin is the time before the stop limit at which requests that still
 	// run are cut off.
 	stopMargin = 300 * time.Millisecond
-	// stopRunShare is the part of the time until the stop limit that the
-	// objective of a late request may take.
-	stopRunShare = 0.8
+	// lateRunShare is the part of the time until the stop limit that the
+	// objective of a caller's request may take after noticeTime.
+	lateRunShare = 0.4
 	drainPoll    = 20 * time.Millisecond
 )
 
-// drain takes no hops, waits for the requests in flight and for callers to
+// drain takes no hops, and waits for the requests in flight and for callers to
 // leave, until the stop limit.
 func (n *Node) drain(ctx context.Context) {
-	n.log.Info("stopping", zap.Int64("in_flight", n.inFlight.Load()))
+	n.log.Info("stopping", zap.Int64("in_flight", n.callers.Load()+n.hops.Load()))
 	started := time.Now()
 	end := started.Add(n.settings.StopLimit - stopMargin)
 	if err := n.board.Do(ctx, func(s *state) { s.leaving, s.stopSince, s.stopAt = true, started, end }); err != nil {
@@ -37,10 +37,10 @@
 		go n.syncer.removeSelf(removal)
 	}
 	for time.Now().Before(end) {
-		if n.inFlight.Load() == 0 && time.Since(started) > noticeTime {
+		if n.callers.Load() == 0 && n.hops.Load() == 0 && time.Since(started) > noticeTime {
 			break
 		}
 		sleep(ctx, drainPoll)
 	}
-	n.log.Info("stopped", zap.Int64("cut_off", n.inFlight.Load()), zap.Duration("took", time.Since(started)))
+	n.log.Info("stopped", zap.Int64("cut_off", n.callers.Load()+n.hops.Load()), zap.Duration("took", time.Since(started)))
 }
