--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, test, lint, fuzz, demo, soak, bench, convergence. README.md explains each.
+# Targets: build, platform, test, lint, fuzz, demo, soak, bench, convergence. README.md explains each.
 BINARIES := tarragond tarragonctl tarragon-load tarragon-standin
 SEED ?= 1
 DURATION ?= 60s
@@ -6,13 +6,17 @@
 DEPLOYMENT ?= trust
 NODES ?= 21
 
-.PHONY: all build test lint demo soak soak-short bench convergence fuzz bin/harness
+.PHONY: all platform build test lint demo soak soak-short bench convergence fuzz bin/harness
 
 all: build
 
 build:
 	go build -o bin/ $(addprefix ./cmd/,$(BINARIES))
 
+# The build line of deploy/system.toml, as the users' platform runs it.
+platform:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
 lint:
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
 	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
--- a/internal/architecture/pure_test.go
+++ b/internal/architecture/pure_test.go
@@ -15,7 +15,9 @@
 const module = "github.com/tarragonford/tarragonford/"
 
 // purePackages are those that docs/design.md marks with P.
-var purePackages = []string{"codes", "fleet", "detect", "eject", "route", "admit", "intent"}
+var purePackages = []string{
+	"codes", "fleet", "detect", "eject", "route", "admit", "intent", "registration", "gate", "pick",
+}
 
 // isImpure reports whether an import lets a package reach the network, the
 // operating system or the log. The sub-packages of net and os count as well.
--- a/internal/sidecar/sizes.go
+++ b/internal/sidecar/sizes.go
@@ -29,10 +29,3 @@
 	}
 	a.mean[route] = mean + sizeWeight*(float64(bytes)-mean)
 }
-
-// reset forgets all routes, after a change of the configuration.
-func (a *answerSizes) reset() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	clear(a.mean)
-}
