--- /dev/null
+++ b/internal/pick/pick_test.go
@@ -0,0 +1,98 @@
+package pick
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonford/tarragonford/internal/gate"
+)
+
+var (
+	start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	nodes = []Candidate{
+		{ID: "near", DataCentre: "a", Region: "r"},
+		{ID: "far", DataCentre: "b", Region: "r"},
+	}
+)
+
+func zero() float64 { return 0 }
+
+func sound(running int) gate.Load {
+	return gate.Load{Open: true, Running: running, Slots: 6, Service: 500 * time.Millisecond}
+}
+
+// chosen returns the node for a query, empty if there is none.
+func chosen(p *Picker, q Query) string {
+	q.Objective = 2 * time.Second
+	i, ok := p.Choose(start, zero, nodes, q)
+	if !ok {
+		return ""
+	}
+	return nodes[i].ID
+}
+
+func TestTheNearNodeIsChosenWhileItIsSound(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	p.Report(start, "near", sound(2))
+	p.Report(start, "far", sound(0))
+	g.Expect(chosen(p, Query{})).To(Equal("near"))
+
+	doubtful := sound(2)
+	doubtful.Doubt = 0.5
+	p.Report(start, "near", doubtful)
+	g.Expect(chosen(p, Query{})).To(Equal("far"), "a failed booking costs more than the way")
+}
+
+func TestAFullNodeIsLeftForAFarOne(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	p.Report(start, "near", sound(6))
+	p.Report(start, "far", sound(1))
+	g.Expect(chosen(p, Query{})).To(Equal("far"))
+	p.Report(start, "far", sound(5))
+	g.Expect(chosen(p, Query{})).To(BeEmpty(), "the last slot of a far node may be gone")
+	g.Expect(chosen(p, Query{Patience: time.Second})).NotTo(BeEmpty())
+}
+
+// Urgent work is not kept away by the less urgent work that waits.
+func TestTheWaitCountsOnlyWorkThatGoesBefore(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	full := sound(6)
+	full.Waiting = [gate.Levels]int{0, 0, 20, 0}
+	p.Report(start, "near", full)
+	p.Report(start, "far", full)
+	q := Query{Patience: 500 * time.Millisecond}
+	q.Priority = 2
+	g.Expect(chosen(p, q)).To(BeEmpty())
+	q.Priority = 1
+	g.Expect(chosen(p, q)).To(Equal("near"))
+}
+
+func TestDoubtfulNodesGetOnlyTrials(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	failing := sound(0)
+	failing.Doubt = 0.95
+	p.Report(start, "near", failing)
+	p.Report(start, "far", gate.Load{})
+	g.Expect(chosen(p, Query{})).To(BeEmpty(), "a booking")
+	g.Expect(chosen(p, Query{Idempotent: true, Last: true})).To(BeEmpty(), "a lookup that cannot be repeated")
+	g.Expect(chosen(p, Query{Idempotent: true})).To(Equal("near"), "a trial")
+	g.Expect(chosen(p, Query{Idempotent: true})).To(BeEmpty(), "a second one beside it")
+}
+
+func TestAnUnreachableNodeIsLeftOutForAPauseThatGrows(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	p.Unreachable(start, "near")
+	g.Expect(chosen(p, Query{})).To(Equal("far"))
+	g.Expect(p.Soonest(start, nodes[:1])).To(Equal(minPause))
+	p.Unreachable(start, "near")
+	g.Expect(p.Soonest(start, nodes[:1])).To(Equal(2 * minPause))
+	p.Report(start, "near", sound(0))
+	g.Expect(p.Soonest(start, nodes[:1])).To(BeZero())
+}
--- a/internal/route/shared.go
+++ b/internal/route/shared.go
@@ -6,10 +6,12 @@
 )
 
 // SharedBudget bounds the further attempts of one service at one entry where
-// the bound holds for all entries together: in any window, Ratio x the requests
-// of the window and an allowance that the entries share out. Each entry counts
-// its own requests and takes its part of the allowance, so the sum keeps the
-// bound without messages. It is safe for concurrent use.
+// the bound holds for all entries together: Ratio x requests and an allowance
+// that the entries share out. Each entry counts its own requests and takes its
+// part of the allowance, so no messages are needed. When an attempt is allowed,
+// the attempts of the window before it are within the bound for the requests of
+// that window; those requests leave the window first, so a later window can hold
+// a little more. It is safe for concurrent use.
 type SharedBudget struct {
 	mu sync.Mutex
 	// fresh and spent hold the times of requests and of further attempts in the
--- /dev/null
+++ b/internal/sidecar/hop_test.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonford/tarragonford/internal/gate"
+)
+
+func TestTermsAndReportsSurviveAHop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 1e6).Draw(t, name)) * time.Millisecond
+		}
+		sent := terms{
+			left: ms("left"), objective: ms("objective"), patience: ms("patience"),
+			priority:   rapid.IntRange(0, 9).Draw(t, "priority"),
+			idempotent: rapid.Bool().Draw(t, "idempotent"),
+			caller:     "measures", service: "bookings", version: rapid.Uint64().Draw(t, "version"), inbound: "10.0.0.1:80",
+		}
+		got, err := decodeTerms(sent.encode())
+		if err != nil || got != sent {
+			t.Fatalf("sent %+v, got %+v (%v)", sent, got, err)
+		}
+		load := report{Load: gate.Load{
+			Open: rapid.Bool().Draw(t, "open"), Running: rapid.IntRange(0, 99).Draw(t, "running"),
+			Slots: rapid.IntRange(0, 99).Draw(t, "slots"), Doubt: float64(rapid.IntRange(0, doubtScale).Draw(t, "doubt")) / doubtScale,
+			Service: ms("service"), Cold: rapid.Bool().Draw(t, "cold"), Trial: ms("trial"),
+			Waiting: [gate.Levels]int{1, 2, 3, 4},
+		}, version: uint64(rapid.IntRange(0, 1e9).Draw(t, "config"))}
+		back, ok := decodeReport(load.encode())
+		if !ok || back.Running != load.Running || back.Waiting != load.Waiting || back.version != load.version ||
+			back.Open != load.Open || back.Service != load.Service || back.Trial != load.Trial {
+			t.Fatalf("sent %+v, got %+v", load, back)
+		}
+	})
+}
+
+// Datagrams can be late and double, and a restarted node counts from 1 again.
+func TestOldBeaconsAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	order := beaconOrder{last: map[string][2]int64{}}
+	next := func(incarnation, sequence int64) bool {
+		return order.newer(beacon{node: "n", incarnation: incarnation, sequence: sequence})
+	}
+	g.Expect(next(1, 5)).To(BeTrue())
+	g.Expect(next(1, 5)).To(BeFalse(), "double")
+	g.Expect(next(1, 4)).To(BeFalse(), "late")
+	g.Expect(next(2, 1)).To(BeTrue(), "a new process")
+	g.Expect(next(1, 9)).To(BeFalse(), "the old process")
+}
+
+// Input of other nodes must not crash the node.
+func FuzzHop(f *testing.F) {
+	f.Add("1;2;3;4;1;a;b;5;c")
+	f.Add("T1|n|1|2|0|1;2;3;4;5;6;7;8;9;0;0;0")
+	f.Add("2;350")
+	f.Fuzz(func(_ *testing.T, text string) {
+		_, _ = decodeTerms(text)
+		_, _ = decodeReport(text)
+		_, _ = decodeRefusal(text)
+		_, _ = decodeBeacon([]byte(text))
+	})
+}
