Name the program in its logs, and report changed settings at a reload

Cause: lines of tarragon-sidecar named the service tarragond, and SIGHUP only wrote that it came. Change: telemetry takes the program's name; a reload reads and checks the settings file and says whether the next start will differ.

--- a/cmd/tarragon-sidecar/main.go
+++ b/cmd/tarragon-sidecar/main.go
@@ -20,6 +20,9 @@
 	"github.com/tarragonford/tarragonford/platform"
 )
 
+// program is the name of the command in its messages and logs.
+const program = "tarragon-sidecar"
+
 // logLines bounds the log lines that wait for the standard output.
 const logLines = 4096
 
@@ -34,10 +37,10 @@
 func main() {
 	var o options
 	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
-		os.Exit(cli.Report("tarragon-sidecar", err))
+		os.Exit(cli.Report(program, err))
 	}
 	if o.Version {
-		fmt.Println("tarragon-sidecar", buildinfo.Version())
+		fmt.Println(program, buildinfo.Version())
 		return
 	}
 	if o.Config == "" {
@@ -45,7 +48,7 @@
 	}
 	config, err := platform.LoadSettings(o.Config)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "tarragon-sidecar:", err)
+		fmt.Fprintln(os.Stderr, program+":", err)
 		os.Exit(cli.ExitUsage)
 	}
 	if o.CheckConfig {
@@ -53,7 +56,7 @@
 		return
 	}
 	if err := run(config, o); err != nil {
-		fmt.Fprintln(os.Stderr, "tarragon-sidecar:", err)
+		fmt.Fprintln(os.Stderr, program+":", err)
 		os.Exit(cli.ExitFailure)
 	}
 }
@@ -62,21 +65,22 @@
 func run(config sidecar.Settings, o options) error {
 	out := telemetry.NewAsyncWriter(os.Stdout, logLines)
 	defer out.Close()
-	t, err := telemetry.NewTo(context.Background(), settings.Node{
-		ID: config.Node, Region: config.Region, DataCentre: config.DataCentre,
-		Telemetry: settings.Telemetry{LogFormat: "json", LogLevel: o.LogLevel},
-	}, buildinfo.Version(), out)
+	t, err := telemetry.NewFor(context.Background(),
+		telemetry.Process{Name: program, Version: buildinfo.Version(), Log: out},
+		settings.Node{
+			ID: config.Node, Region: config.Region, DataCentre: config.DataCentre,
+			Telemetry: settings.Telemetry{LogFormat: "json", LogLevel: o.LogLevel},
+		})
 	if err != nil {
 		return err
 	}
 	node := sidecar.New(platform.Parts(config, platform.NewStore(config.StoreAddr), t))
-	return node.Run(stopSignal(t.Log))
+	return node.Run(stopSignal(t.Log, config, o.Config))
 }
 
 // stopSignal returns a channel that is closed at the first SIGTERM or SIGINT.
-// SIGHUP announces changed settings; none of those in use can change while the
-// process runs.
-func stopSignal(log *zap.Logger) <-chan struct{} {
+// SIGHUP announces changed settings.
+func stopSignal(log *zap.Logger, config sidecar.Settings, path string) <-chan struct{} {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	stop := make(chan struct{})
@@ -86,8 +90,22 @@
 				close(stop)
 				return
 			}
-			log.Info("reload", zap.String("signal", received.String()))
+			reportReload(log, config, path)
 		}
 	}()
 	return stop
 }
+
+// reportReload says whether the settings file differs from the settings in
+// force. Addresses and the retry budget are fixed while the process runs, so a
+// change takes effect at its next start.
+func reportReload(log *zap.Logger, config sidecar.Settings, path string) {
+	next, err := platform.LoadSettings(path)
+	if err != nil {
+		log.Warn("reload", zap.String("outcome", "settings not understood, the old ones stay"), zap.Error(err))
+		return
+	}
+	// The flag of the first start is of no use to a process that runs.
+	next.FirstStart = config.FirstStart
+	log.Info("reload", zap.Bool("changed_for_next_start", next != config))
+}
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -1,8 +1,6 @@
 package telemetry
 
 import (
-	"io"
-
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -16,7 +14,7 @@
 	formatConsole = "console"
 )
 
-func newLogger(node settings.Node, version string, out io.Writer) (*zap.Logger, zap.AtomicLevel, error) {
+func newLogger(node settings.Node, process Process) (*zap.Logger, zap.AtomicLevel, error) {
 	level, err := zap.ParseAtomicLevel(node.Telemetry.LogLevel)
 	if err != nil {
 		return nil, level, trace.BadParameter("log level %q is not known: use debug, info, warn or error", node.Telemetry.LogLevel)
@@ -25,8 +23,8 @@
 	if err != nil {
 		return nil, level, trace.Wrap(err)
 	}
-	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(out)), level)
-	return zap.New(core).With(nodeFields(node, version)...), level, nil
+	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(process.Log)), level)
+	return zap.New(core).With(nodeFields(node, process)...), level, nil
 }
 
 func newEncoder(format string) (zapcore.Encoder, error) {
@@ -43,10 +41,10 @@
 	return nil, trace.BadParameter("log format %q is not known: use json or console", format)
 }
 
-func nodeFields(node settings.Node, version string) []zap.Field {
+func nodeFields(node settings.Node, process Process) []zap.Field {
 	return []zap.Field{
-		zap.String("service", ServiceName),
-		zap.String("version", version),
+		zap.String("service", process.Name),
+		zap.String("version", process.Version),
 		zap.String("node", node.ID),
 		zap.String("region", node.Region),
 		zap.String("data_centre", node.DataCentre),
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -46,19 +46,27 @@
 // collector is no error. It fails on a log level or format that is not known,
 // or when the exporters cannot be built.
 func New(ctx context.Context, node settings.Node, version string) (*Telemetry, error) {
-	return NewTo(ctx, node, version, os.Stderr)
+	return NewFor(ctx, Process{Name: ServiceName, Version: version, Log: os.Stderr}, node)
 }
 
-// NewTo is New with another destination of the log.
-func NewTo(ctx context.Context, node settings.Node, version string, out io.Writer) (*Telemetry, error) {
-	log, level, err := newLogger(node, version, out)
+// Process describes the process that reports.
+type Process struct {
+	// Name is that of the program, Version its build.
+	Name, Version string
+	// Log takes the lines of the log.
+	Log io.Writer
+}
+
+// NewFor is New for another program or another destination of the log.
+func NewFor(ctx context.Context, process Process, node settings.Node) (*Telemetry, error) {
+	log, level, err := newLogger(node, process)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	t := &Telemetry{Log: log, Level: level, registry: prometheus.NewRegistry()}
 	// The collectors read the runtime only when the page is pulled.
 	t.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	res := nodeResource(node, version)
+	res := nodeResource(node, process)
 	if err := t.startMetrics(res); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -79,10 +87,10 @@
 	return trace.Wrap(err)
 }
 
-func nodeResource(node settings.Node, version string) *resource.Resource {
+func nodeResource(node settings.Node, process Process) *resource.Resource {
 	return resource.NewSchemaless(
-		attribute.String("service.name", ServiceName),
-		attribute.String("service.version", version),
+		attribute.String("service.name", process.Name),
+		attribute.String("service.version", process.Version),
 		attribute.String("service.instance.id", node.ID),
 		attribute.String("cloud.region", node.Region),
 		attribute.String("cloud.availability_zone", node.DataCentre),
