Tell in the log how many lines were dropped

Cause: lines beyond the queue were counted, and the count went nowhere. Change: the writer adds a line with the number once there is room again. Measured: a test with a stuck output: 100 lines in under a second, the rest told.

--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -1,18 +1,22 @@
 package telemetry
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
 )
 
 // AsyncWriter passes lines on to a writer from a goroutine of its own. Write
-// never blocks: lines beyond the capacity are dropped and counted.
+// never blocks: lines beyond the capacity are dropped, and a line of its own
+// tells how many, once there is room again.
 type AsyncWriter struct {
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	done    sync.WaitGroup
+	// told is the number of dropped lines that the log tells of.
+	told int64
+	done sync.WaitGroup
 }
 
 // NewAsyncWriter starts a writer that holds up to capacity lines.
@@ -47,5 +51,19 @@
 	for line := range w.lines {
 		// There is no other place to tell that the log itself fails.
 		_, _ = w.out.Write(line)
+		if len(w.lines) == 0 {
+			w.tell()
+		}
 	}
+	w.tell()
+}
+
+// tell writes the number of lines dropped so far, if it has grown.
+func (w *AsyncWriter) tell() {
+	dropped := w.dropped.Load()
+	if dropped == w.told {
+		return
+	}
+	w.told = dropped
+	fmt.Fprintf(w.out, `{"level":"warn","msg":"log lines dropped","dropped":%d}`+"\n", dropped)
 }
--- /dev/null
+++ b/internal/telemetry/async_test.go
@@ -0,0 +1,48 @@
+package telemetry
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuckWriter blocks until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+// A log that nobody reads must not hold up the requests, and must tell later
+// what is missing.
+func TestAStuckLogDropsLinesAndTells(t *testing.T) {
+	out := &stuckWriter{release: make(chan struct{})}
+	w := NewAsyncWriter(out, 4)
+	started := time.Now()
+	for range 100 {
+		if _, err := w.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(started); took > time.Second {
+		t.Fatalf("100 lines took %v", took)
+	}
+	close(out.release)
+	w.Close()
+	text := out.text.String()
+	lines := strings.Count(text, "line\n")
+	if lines+int(w.Dropped()) != 100 || w.Dropped() == 0 {
+		t.Fatalf("%d lines written, %d dropped", lines, w.Dropped())
+	}
+	if !strings.Contains(text, "log lines dropped") {
+		t.Fatalf("the log does not tell what it dropped: %q", text)
+	}
+}
