Keep the retry budget at the hosts of a service

Each of 22 entries kept its own part of the allowance, 2.2 repeats in 10 s, of which whole numbers only are usable. Change: the host beside each server counts requests and repeats where they arrive and refuses a repeat beyond its part (allowance / servers of the service); reports tell what is left, so that entries ask servers that have some. Calls of a run that is a repeat are counted at the service that is called, by the share of repeats among the caller's running requests; before, a margin stood for them. A new process starts without an allowance, which grows over one window. Ruled out: messages between entries about what they spent (bytes between data centres are the dearest price).

--- a/internal/gate/doc.go
+++ b/internal/gate/doc.go
@@ -21,6 +21,15 @@
 // Calls leave through the node beside the server, so a failure right after a
 // failed call is no evidence.
 //
+// # Retry budget
+//
+// A service takes at most a share of its requests, and an allowance, as repeats
+// in any window. Its servers share the allowance out and count requests and
+// repeats where they arrive, which needs no messages: a service has few servers,
+// so that each part is large enough to use, and entries send repeats to servers
+// that have some left. The calls of a run that is itself a repeat count by the
+// share of repeats among the running requests of the server that made them.
+//
 // # Slots
 //
 // A request runs if a slot is free. Otherwise it may wait, in the order of
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -36,11 +36,13 @@
 	Doubtful
 	// Busy servers have no slot in time.
 	Busy
+	// Spent servers have taken the repeats that the retry budget allows them.
+	Spent
 )
 
 // String returns the name of the refusal for logs.
 func (r Refusal) String() string {
-	return [...]string{"none", "closed", "doubtful", "busy"}[r]
+	return [...]string{"none", "closed", "doubtful", "busy", "spent"}[r]
 }
 
 // Work describes a request that asks for a slot.
@@ -53,6 +55,15 @@
 	// Patience is the longest expected wait with which the request may join the
 	// queue; 0 if it may not wait.
 	Patience time.Duration
+	// Repeat tells that an earlier attempt reached a server. The retry budget
+	// bounds repeats.
+	Repeat bool
+	// First tells that no other node was asked before, so that a request counts
+	// once for the retry budget, whatever number of nodes refuse it.
+	First bool
+	// RepeatShare is the probability that the request is a call of a run that is
+	// itself a repeat, and so counts as one.
+	RepeatShare float64
 }
 
 // before reports whether w takes a free slot before other: by priority, then by
@@ -115,6 +126,8 @@
 	// Trial is the time until a doubtful server takes one idempotent request as
 	// a trial; trialRunning while one runs.
 	Trial time.Duration
+	// Repeats is the number of repeats that the retry budget leaves.
+	Repeats int
 }
 
 // trialRunning is the Load.Trial of a server whose trial has not ended.
@@ -150,6 +163,9 @@
 	trial     bool
 	nextTrial time.Time
 	service   time.Duration
+	repeats   repeatBudget
+	// repeating counts the repeats among the running requests.
+	repeating int
 	// callFailed is the time of the newest failed call of the server that has
 	// not excused a failure yet.
 	callFailed time.Time
@@ -159,7 +175,25 @@
 // New returns a closed gate. onChange is called after each change of the load,
 // with a lock held; it must not call the gate.
 func New(now time.Time, onChange func()) *Gate {
-	return &Gate{doubt: NewDoubt(now), service: initialService, onChange: onChange}
+	return &Gate{doubt: NewDoubt(now), service: initialService, onChange: onChange, repeats: repeatBudget{started: now}}
+}
+
+// SetRepeatTerms sets the part of this server in the retry budget.
+func (g *Gate) SetRepeatTerms(terms RepeatTerms) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.repeats.terms = terms
+}
+
+// RepeatShare returns the share of repeats among the running requests, which is
+// the probability that a call of the server belongs to one of them.
+func (g *Gate) RepeatShare() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.running == 0 {
+		return 0
+	}
+	return float64(g.repeating) / float64(g.running)
 }
 
 // Open sets the capacity of the server. A new incarnation starts without the
@@ -202,9 +236,15 @@
 func (g *Gate) Offer(now time.Time, work Work) (ticket *Ticket, refusal Refusal, retryAfter time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if work.First {
+		g.repeats.request(now, work.RepeatShare)
+	}
 	if !g.open {
 		return nil, Closed, 0
 	}
+	if work.Repeat && g.repeats.left(now) < 1 {
+		return nil, Spent, 0
+	}
 	trial, allowed := g.healthAllows(now, work)
 	if !allowed {
 		return nil, Doubtful, max(g.nextTrial.Sub(now), trialPause)
@@ -273,6 +313,10 @@
 	if ticket.trial {
 		g.trial = true
 	}
+	if ticket.work.Repeat {
+		g.repeats.repeat(now)
+		g.repeating++
+	}
 	g.onChange()
 }
 
@@ -292,6 +336,9 @@
 	if ticket.trial {
 		g.trial = false
 	}
+	if ticket.work.Repeat {
+		g.repeating--
+	}
 	if evidence == Success {
 		g.service += time.Duration(meanWeight * float64(now.Sub(ticket.started)-g.service))
 	}
@@ -348,7 +395,7 @@
 }
 
 // startWaiting gives free slots to waiting requests, and refuses those that the
-// health no longer allows.
+// health or the retry budget no longer allows.
 func (g *Gate) startWaiting(now time.Time) {
 	kept := g.waiting[:0]
 	for _, ticket := range g.waiting {
@@ -356,6 +403,8 @@
 		switch {
 		case !allowed:
 			ticket.turn <- Doubtful
+		case ticket.work.Repeat && g.repeats.left(now) < 1:
+			ticket.turn <- Spent
 		case g.running < g.slots:
 			ticket.trial = trial
 			g.start(now, ticket)
@@ -384,6 +433,7 @@
 		Open:    g.open,
 		Cold:    now.Before(g.warmUntil),
 		Trial:   g.untilTrial(now),
+		Repeats: g.repeats.left(now),
 	}
 }
 
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -59,6 +59,8 @@
 	Last bool
 	// Patience is the longest expected wait for a slot; 0 for not at all.
 	Patience time.Duration
+	// Repeat tells that an earlier attempt reached a server.
+	Repeat bool
 	// AnswerBytes is the expected size of the answer.
 	AnswerBytes int
 	// Exclude reports candidates that the request has tried already.
@@ -151,7 +153,7 @@
 	if s.reported.IsZero() || age > freshReport {
 		return true
 	}
-	if !s.load.Open {
+	if !s.load.Open || q.Repeat && s.load.Repeats < 1 {
 		return false
 	}
 	if !s.load.Healthy() && (!q.Idempotent || q.Last || age < s.load.Trial || s.sent > 0 || far && q.Patience == 0) {
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -34,8 +34,6 @@
 // run sends the request to servers until one answers or the exchange is given
 // up, and answers the caller.
 func (x *exchange) run(ctx context.Context, w http.ResponseWriter) {
-	e := x.entry
-	e.budget(x.service).Fresh(x.started)
 	var last *httpconn.Answer
 	hold := x.started.Add(gate.PatienceOf(x.objective.Sub(x.started), x.deadline.Sub(x.started)))
 	for hops := 0; hops < maxHops; {
@@ -47,7 +45,11 @@
 		}
 		member, ok := x.choose()
 		if !ok {
-			if last != nil || x.attempts > 0 || !x.hold(ctx, hold) {
+			if x.arrivals > 0 {
+				x.entry.telemetry.Metrics.RetriesRefused.Inc()
+				break
+			}
+			if !x.hold(ctx, hold) {
 				break
 			}
 			continue
@@ -81,6 +83,7 @@
 		Last:        x.attempts > 0 && x.attempts+1 >= x.route.MaxAttempts && x.route.MaxAttempts > 0,
 		Objective:   x.objective.Sub(x.started),
 		Patience:    x.patience(now),
+		Repeat:      x.arrivals > 0,
 		AnswerBytes: e.sizes.of(x.route.ID),
 		Exclude:     func(id string) bool { _, tried := x.tried[id]; return tried },
 	}
@@ -92,6 +95,9 @@
 	if !ok {
 		return Member{}, false
 	}
+	if query.Repeat {
+		e.telemetry.Metrics.Retries.Inc()
+	}
 	return pool.Members[i], true
 }
 
@@ -134,6 +140,8 @@
 	r.left = x.deadline.Sub(now)
 	r.objective = x.objective.Sub(now)
 	r.patience = x.patience(now)
+	r.repeat = x.arrivals > 0
+	x.request.first = false
 	if member.ID == e.settings.Node {
 		return e.host.serve(ctx, &r), nil
 	}
@@ -205,6 +213,7 @@
 		}
 		x.tried[member.ID] = true
 		x.attempts++
+		x.arrivals++
 		return x.request.idempotent && x.mayRepeat(now), nil
 	case reply.refused != nil:
 		x.note(member, reply.refused.reason.String())
@@ -215,6 +224,7 @@
 		x.note(member, "answer-lost")
 		x.tried[member.ID] = true
 		x.attempts++
+		x.arrivals++
 		return x.request.idempotent && x.mayRepeat(now), nil
 	}
 	return x.judgeAnswer(member, reply.answer, now)
@@ -223,8 +233,8 @@
 func (x *exchange) judgeAnswer(member Member, answer *httpconn.Answer, now time.Time) (bool, *httpconn.Answer) {
 	x.note(member, fmt.Sprint(answer.Status))
 	x.tried[member.ID] = true
+	x.arrivals++
 	if x.entry.headers.NotRun(answer.Status, answer.Header) {
-		// It reached a server, so another attempt counts as a repeat.
 		return x.mayRepeat(now), answer
 	}
 	x.attempts++
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,10 +29,6 @@
 	// standardMaxBody bounds a request body in bytes where the configuration
 	// names no limit.
 	standardMaxBody = 1 << 20
-	// budgetMargin is the part of the shared retry budget that is used. The
-	// requests that a repeated run makes count as repeats too, at the services
-	// that it calls, and no node sees them all.
-	budgetMargin = 0.8
 )
 
 // entry serves callers.
@@ -50,9 +45,6 @@
 	telemetry *telemetry.Telemetry
 	// onVersion is called with the configuration version of another node.
 	onVersion func(version uint64, inbound string)
-
-	budgetMu sync.Mutex
-	budgets  map[string]*route.SharedBudget
 }
 
 // exchange is one request of a caller on its way.
@@ -68,6 +60,9 @@
 	objective time.Time
 	// attempts is the number of servers that may have run the request.
 	attempts int
+	// arrivals is the number of servers that the request may have reached,
+	// those included that say that they did not run it.
+	arrivals int
 	// tried are the nodes that are not to be asked again; false for those that
 	// only had no free slot.
 	tried map[string]bool
@@ -130,6 +125,7 @@
 		service:    x.service,
 		version:    view.Config.Version,
 		inbound:    e.settings.Inbound,
+		first:      true, repeatShare: e.host.gate.RepeatShare(),
 	}
 	return x, nil
 }
@@ -189,38 +185,10 @@
 	return body, nil
 }
 
-// budget returns the retry budget of a service.
-func (e *entry) budget(service string) *route.SharedBudget {
-	e.budgetMu.Lock()
-	defer e.budgetMu.Unlock()
-	b := e.budgets[service]
-	if b == nil {
-		b = &route.SharedBudget{}
-		e.budgets[service] = b
-	}
-	return b
-}
-
-func (e *entry) budgetTerms(view *View) route.SharedTerms {
-	return route.SharedTerms{
-		Ratio:     e.settings.RetryRatio * budgetMargin,
-		Allowance: e.settings.RetryAllowance * budgetMargin / float64(max(len(view.Members), 1)),
-		Window:    e.settings.RetryWindow,
-	}
-}
-
 // mayRepeat reports whether a request that reached a server may be sent to
-// another one, and takes that out of the budget.
+// another one. The hosts keep the retry budget.
 func (x *exchange) mayRepeat(now time.Time) bool {
-	if x.route.MaxAttempts > 0 && x.attempts >= x.route.MaxAttempts || !now.Before(x.deadline) {
-		return false
-	}
-	if !x.entry.budget(x.service).Take(now, x.entry.budgetTerms(x.view)) {
-		x.entry.telemetry.Metrics.RetriesRefused.Inc()
-		return false
-	}
-	x.entry.telemetry.Metrics.Retries.Inc()
-	return true
+	return (x.route.MaxAttempts <= 0 || x.attempts < x.route.MaxAttempts) && now.Before(x.deadline)
 }
 
 // deliver sends the whole answer of the server to the caller.
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -42,13 +42,20 @@
 	// the address at which it can be asked for.
 	version uint64
 	inbound string
+	// repeat, first and repeatShare are those of gate.Work.
+	repeat, first bool
+	repeatShare   float64
 }
 
-const termFields = 9
+const termFields = 12
+
+// shareScale is the resolution of the shares and probabilities in a hop.
+const shareScale = 1000
 
 func (t terms) encode() string {
-	return fmt.Sprintf("%d;%d;%d;%d;%d;%s;%s;%d;%s", t.left.Milliseconds(), t.objective.Milliseconds(),
-		t.patience.Milliseconds(), t.priority, bit(t.idempotent), t.caller, t.service, t.version, t.inbound)
+	return fmt.Sprintf("%d;%d;%d;%d;%d;%d;%d;%d;%s;%s;%d;%s", t.left.Milliseconds(), t.objective.Milliseconds(),
+		t.patience.Milliseconds(), t.priority, bit(t.idempotent), bit(t.repeat), bit(t.first),
+		int(t.repeatShare*shareScale), t.caller, t.service, t.version, t.inbound)
 }
 
 func decodeTerms(text string) (terms, error) {
@@ -56,7 +63,7 @@
 	if len(fields) != termFields {
 		return terms{}, trace.BadParameter("a hop has %d fields, not %d", termFields, len(fields))
 	}
-	var numbers [5]int64
+	var numbers [8]int64
 	for i := range numbers {
 		n, err := strconv.ParseInt(fields[i], 10, 64)
 		if err != nil {
@@ -64,20 +71,23 @@
 		}
 		numbers[i] = n
 	}
-	version, err := strconv.ParseUint(fields[7], 10, 64)
+	version, err := strconv.ParseUint(fields[10], 10, 64)
 	if err != nil {
 		return terms{}, trace.BadParameter("the configuration version of a hop is no number")
 	}
 	return terms{
-		left:       time.Duration(numbers[0]) * time.Millisecond,
-		objective:  time.Duration(numbers[1]) * time.Millisecond,
-		patience:   time.Duration(numbers[2]) * time.Millisecond,
-		priority:   int(numbers[3]),
-		idempotent: numbers[4] == 1,
-		caller:     fields[5],
-		service:    fields[6],
-		version:    version,
-		inbound:    fields[8],
+		left:        time.Duration(numbers[0]) * time.Millisecond,
+		objective:   time.Duration(numbers[1]) * time.Millisecond,
+		patience:    time.Duration(numbers[2]) * time.Millisecond,
+		priority:    int(numbers[3]),
+		idempotent:  numbers[4] == 1,
+		repeat:      numbers[5] == 1,
+		first:       numbers[6] == 1,
+		repeatShare: float64(numbers[7]) / shareScale,
+		caller:      fields[8],
+		service:     fields[9],
+		version:     version,
+		inbound:     fields[11],
 	}, nil
 }
 
@@ -87,17 +97,15 @@
 	version uint64
 }
 
-// doubtScale is the resolution of the doubt in a report.
-const doubtScale = 1000
-
 func (r report) encode() string {
 	numbers := []int64{
-		int64(bit(r.Open)), int64(r.Running), int64(r.Slots), int64(r.Doubt * doubtScale),
+		int64(bit(r.Open)), int64(r.Running), int64(r.Slots), int64(r.Doubt * shareScale),
 		r.Service.Milliseconds(), int64(bit(r.Cold)), r.Trial.Milliseconds(), int64(r.version),
 	}
 	for _, waiting := range r.Waiting {
 		numbers = append(numbers, int64(waiting))
 	}
+	numbers = append(numbers, int64(r.Repeats))
 	var text []byte
 	for i, n := range numbers {
 		if i > 0 {
@@ -108,7 +116,7 @@
 	return string(text)
 }
 
-const reportFields = 8 + gate.Levels
+const reportFields = 9 + gate.Levels
 
 func decodeReport(text string) (report, bool) {
 	fields := strings.Split(text, ";")
@@ -128,7 +136,7 @@
 			Open:    n[0] == 1,
 			Running: int(n[1]),
 			Slots:   int(n[2]),
-			Doubt:   float64(n[3]) / doubtScale,
+			Doubt:   float64(n[3]) / shareScale,
 			Service: time.Duration(n[4]) * time.Millisecond,
 			Cold:    n[5] == 1,
 			Trial:   time.Duration(n[6]) * time.Millisecond,
@@ -138,6 +146,7 @@
 	for i := range r.Waiting {
 		r.Waiting[i] = int(n[8+i])
 	}
+	r.Repeats = int(n[reportFields-1])
 	return r, true
 }
 
@@ -161,7 +170,7 @@
 	reason, after, _ := strings.Cut(text, ";")
 	n, err := strconv.Atoi(reason)
 	ms, err2 := strconv.ParseInt(after, 10, 64)
-	if err != nil || err2 != nil || n < int(gate.Closed) || n > int(gate.Busy) {
+	if err != nil || err2 != nil || n < int(gate.Closed) || n > int(gate.Spent) {
 		return refusal{}, false
 	}
 	return refusal{reason: gate.Refusal(n), after: time.Duration(ms) * time.Millisecond}, true
--- a/internal/sidecar/hop_test.go
+++ b/internal/sidecar/hop_test.go
@@ -20,6 +20,8 @@
 			priority:   rapid.IntRange(0, 9).Draw(t, "priority"),
 			idempotent: rapid.Bool().Draw(t, "idempotent"),
 			caller:     "measures", service: "bookings", version: rapid.Uint64().Draw(t, "version"), inbound: "10.0.0.1:80",
+			repeat: rapid.Bool().Draw(t, "repeat"), first: rapid.Bool().Draw(t, "first"),
+			repeatShare: float64(rapid.IntRange(0, shareScale).Draw(t, "share")) / shareScale,
 		}
 		got, err := decodeTerms(sent.encode())
 		if err != nil || got != sent {
@@ -27,13 +29,13 @@
 		}
 		load := report{Load: gate.Load{
 			Open: rapid.Bool().Draw(t, "open"), Running: rapid.IntRange(0, 99).Draw(t, "running"),
-			Slots: rapid.IntRange(0, 99).Draw(t, "slots"), Doubt: float64(rapid.IntRange(0, doubtScale).Draw(t, "doubt")) / doubtScale,
+			Slots: rapid.IntRange(0, 99).Draw(t, "slots"), Doubt: float64(rapid.IntRange(0, shareScale).Draw(t, "doubt")) / shareScale,
 			Service: ms("service"), Cold: rapid.Bool().Draw(t, "cold"), Trial: ms("trial"),
-			Waiting: [gate.Levels]int{1, 2, 3, 4},
+			Waiting: [gate.Levels]int{1, 2, 3, 4}, Repeats: rapid.IntRange(0, 99).Draw(t, "repeats"),
 		}, version: uint64(rapid.IntRange(0, 1e9).Draw(t, "config"))}
 		back, ok := decodeReport(load.encode())
 		if !ok || back.Running != load.Running || back.Waiting != load.Waiting || back.version != load.version ||
-			back.Open != load.Open || back.Service != load.Service || back.Trial != load.Trial {
+			back.Open != load.Open || back.Service != load.Service || back.Trial != load.Trial || back.Repeats != load.Repeats {
 			t.Fatalf("sent %+v, got %+v", load, back)
 		}
 	})
@@ -55,8 +57,8 @@
 
 // Input of other nodes must not crash the node.
 func FuzzHop(f *testing.F) {
-	f.Add("1;2;3;4;1;a;b;5;c")
-	f.Add("T1|n|1|2|0|1;2;3;4;5;6;7;8;9;0;0;0")
+	f.Add("1;2;3;4;1;0;1;90;a;b;5;c")
+	f.Add("T1|n|1|2|0|1;2;3;4;5;6;7;8;9;0;0;0;1")
 	f.Add("2;350")
 	f.Fuzz(func(_ *testing.T, text string) {
 		_, _ = decodeTerms(text)
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -91,6 +91,7 @@
 		Idempotent: r.idempotent,
 		Objective:  r.arrived.Add(r.objective),
 		Patience:   r.patience,
+		Repeat:     r.repeat, First: r.first, RepeatShare: r.repeatShare,
 	}
 	ticket, reason, after := h.gate.Offer(time.Now(), work)
 	if reason != gate.NotRefused {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -102,7 +102,7 @@
 	n.entry = &entry{
 		settings: s, board: n.board, picker: n.picker, splitter: n.splitter, peers: n.peers,
 		headers: parts.Headers, log: n.log, telemetry: parts.Telemetry,
-		onVersion: n.heard, sizes: answerSizes{mean: map[string]float64{}}, budgets: map[string]*route.SharedBudget{},
+		onVersion: n.heard, sizes: answerSizes{mean: map[string]float64{}},
 		host: &host{
 			board: n.board, gate: n.gate, pool: n.servers, headers: parts.Headers, addr: s.ServerAddr,
 			log: n.log, telemetry: parts.Telemetry, onForeign: n.forget,
@@ -122,6 +122,7 @@
 		n.splitter.Reset()
 		n.parts.Telemetry.Metrics.ConfigVersion.Set(int64(after.Config.Version))
 	}
+	n.shareRepeats(after)
 	if before.Server == after.Server {
 		return
 	}
@@ -142,6 +143,19 @@
 	}
 }
 
+// budgetMargin is the part of the retry budget that is used. The requests of a
+// window leave it before the repeats that they allowed.
+const budgetMargin = 0.85
+
+// shareRepeats gives the gate its part of the service's retry budget.
+func (n *Node) shareRepeats(view *View) {
+	terms := gate.RepeatTerms{Ratio: n.settings.RetryRatio * budgetMargin, Window: n.settings.RetryWindow}
+	if pool := view.Services[n.settings.Service]; pool != nil && view.MembersKnown {
+		terms.Allowance = n.settings.RetryAllowance * budgetMargin / float64(len(pool.Members))
+	}
+	n.gate.SetRepeatTerms(terms)
+}
+
 // registrationTime bounds the wait of a report for the control goroutine.
 const registrationTime = 500 * time.Millisecond
 
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -37,7 +37,7 @@
 	// StopLimit is the time between SIGTERM and the end of the process.
 	StopLimit time.Duration
 	// RetryRatio, RetryWindow and RetryAllowance bound the further attempts of
-	// all nodes together; see route.SharedBudget.
+	// all nodes together; see gate.RepeatTerms.
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance float64
