Send the load of a data centre to others in digests

Each of 21 nodes sent a text beacon of about 100 bytes to each other data centre up to 3.3 times a second, and at 500 nodes the beacons exceeded the 13 kB/s of control (docs/CAPACITY.md). Change: package beacon. Reports are binary, at most 30 bytes for a usual one (a test holds that); each node in turn sends the fresh reports of its whole data centre, so the digests of a data centre do not grow with the number of its nodes' datagrams. Intervals grow with the data centre. The age travels with a report, so an older one no longer replaces what an answer has told, and own requests since the report stay counted. A report that another node passed on does not end the pause after a failed connection. Ruled out: a chosen node for each data centre (it can freeze; any node can send).

--- /dev/null
+++ b/internal/beacon/beacon_test.go
@@ -0,0 +1,106 @@
+package beacon
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonford/tarragonford/internal/gate"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func anyReport(t *rapid.T) Aged {
+	number := func(name string) int { return rapid.IntRange(0, 1e6).Draw(t, name) }
+	ms := func(name string) time.Duration { return time.Duration(number(name)) * time.Millisecond }
+	r := Aged{Age: ms("age"), Report: Report{
+		Node: Key(rapid.Uint32().Draw(t, "node")), Stamp: rapid.Uint32().Draw(t, "stamp"),
+		Load: gate.Load{
+			Running: number("running"), Slots: number("slots"), Doubt: float64(rapid.IntRange(0, doubtScale).Draw(t, "doubt")) / doubtScale,
+			Service: ms("service"), Trial: ms("trial"), Repeats: number("repeats"),
+			Open: rapid.Bool().Draw(t, "open"), Cold: rapid.Bool().Draw(t, "cold"),
+		},
+	}}
+	for i := range r.Load.Waiting {
+		r.Load.Waiting[i] = number("waiting")
+	}
+	return r
+}
+
+func TestDatagramsArriveAsSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := Datagram{
+			Sender: Key(rapid.Uint32().Draw(t, "sender")), Version: rapid.Uint64().Draw(t, "version"), PassOn: rapid.Bool().Draw(t, "pass on"),
+			Reports: rapid.SliceOfN(rapid.Custom(anyReport), 0, 120).Draw(t, "reports"),
+		}
+		var got []Aged
+		for _, part := range sent.Encode() {
+			if len(part) > MaxBytes {
+				t.Fatalf("a part has %d bytes", len(part))
+			}
+			d, ok := Decode(part)
+			if !ok || d.Sender != sent.Sender || d.Version != sent.Version || d.PassOn != sent.PassOn {
+				t.Fatalf("sent %+v, got %+v", sent, d)
+			}
+			got = append(got, d.Reports...)
+		}
+		if len(got) != len(sent.Reports) {
+			t.Fatalf("sent %d reports, got %d", len(sent.Reports), len(got))
+		}
+		for i := range got {
+			if diff := got[i].Load.Doubt - sent.Reports[i].Load.Doubt; diff > 1e-3 || diff < -1e-3 {
+				t.Fatalf("doubt %v, sent %v", got[i].Load.Doubt, sent.Reports[i].Load.Doubt)
+			}
+			got[i].Load.Doubt = sent.Reports[i].Load.Doubt
+			if got[i] != sent.Reports[i] {
+				t.Fatalf("sent %+v, got %+v", sent.Reports[i], got[i])
+			}
+		}
+	})
+}
+
+// The pattern: seven data centres of 71 nodes. The bytes of a digest bound what
+// control costs between data centres, so a usual report takes 30 bytes at most.
+func TestAUsualReportIsShort(t *testing.T) {
+	g := NewWithT(t)
+	usual := Aged{Age: 150 * time.Millisecond, Report: Report{Load: gate.Load{
+		Open: true, Running: 12, Slots: 13, Doubt: 0.31, Service: 1300 * time.Millisecond, Trial: 150 * time.Millisecond,
+		Repeats: 20, Waiting: [gate.Levels]int{1, 9, 20, 0},
+	}}}
+	g.Expect(len(usual.append(nil))).To(BeNumerically("<=", 30))
+}
+
+// Datagrams can be late and double, and come by several ways.
+func TestTheNewestReportWins(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	take := func(at time.Duration, stamp uint32, age time.Duration) bool {
+		return table.Take(start.Add(at), Aged{Report: Report{Node: 1, Stamp: stamp}, Age: age})
+	}
+	g.Expect(take(0, 5, 0)).To(BeTrue())
+	g.Expect(take(0, 5, 0)).To(BeFalse(), "double")
+	g.Expect(take(0, 4, 0)).To(BeFalse(), "late")
+	g.Expect(take(time.Millisecond, 1<<31+4, 0)).To(BeTrue(), "newer")
+	g.Expect(take(2*time.Millisecond, 2, 0)).To(BeTrue(), "newer, after the stamp wrapped around")
+	g.Expect(take(StampMemory+2*time.Millisecond, 1, 0)).To(BeTrue(), "a restarted node whose clock was set back")
+}
+
+func TestOldReportsAreNotSpread(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	table.Take(start, Aged{Report: Report{Node: 1, Stamp: 1}, Age: time.Second})
+	table.Take(start, Aged{Report: Report{Node: 2, Stamp: 1}})
+	later := start.Add(500 * time.Millisecond)
+	g.Expect(table.Fresh(later, []Key{1, 2, 3})).To(HaveExactElements(Aged{Report: Report{Node: 2, Stamp: 1}, Age: 500 * time.Millisecond}))
+}
+
+// Input of other nodes must not crash the node.
+func FuzzDatagram(f *testing.F) {
+	for _, part := range (Datagram{Sender: 1, Version: 2, Reports: []Aged{{Age: time.Second}}}).Encode() {
+		f.Add(part)
+	}
+	f.Add([]byte("T2"))
+	f.Fuzz(func(_ *testing.T, b []byte) { Decode(b) })
+}
--- /dev/null
+++ b/internal/beacon/datagram.go
@@ -0,0 +1,163 @@
+package beacon
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+
+	"github.com/tarragonford/tarragonford/internal/gate"
+)
+
+const (
+	// MaxBytes bounds a datagram, so that it fits the usual MTU of a network.
+	MaxBytes = 1200
+	// maxReportBytes bounds the encoding of one report.
+	maxReportBytes = 68
+	// doubtScale is the resolution of a doubt.
+	doubtScale = 1000
+	// maxNumber bounds the numbers of a report, so that none overflows.
+	maxNumber = 1 << 31
+)
+
+// mark begins each datagram, so that others are told apart.
+var mark = [2]byte{'T', '2'}
+
+// Bits of a report.
+const (
+	bitOpen = 1 << iota
+	bitCold
+)
+
+// Key names a node in datagrams.
+type Key uint32
+
+// KeyOf returns the key of a node's ID.
+func KeyOf(id string) Key {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return Key(h.Sum32())
+}
+
+// Report is the load of the server beside a node at one time.
+type Report struct {
+	Node Key
+	// Stamp is the time of the report on the node's clock, in ms modulo 2^32.
+	Stamp uint32
+	Load  gate.Load
+}
+
+// StampOf returns the stamp of a time.
+func StampOf(at time.Time) uint32 { return uint32(at.UnixMilli()) }
+
+// Aged is a report as its reader or sender knows it.
+type Aged struct {
+	Report
+	Age time.Duration
+}
+
+// Datagram carries reports, and the configuration version in force at its sender.
+type Datagram struct {
+	Sender  Key
+	Version uint64
+	// PassOn asks the receiver to send it to the rest of its data centre.
+	PassOn  bool
+	Reports []Aged
+}
+
+// Encode returns the datagram as bytes, in parts that fit MaxBytes.
+func (d Datagram) Encode() [][]byte {
+	var parts [][]byte
+	part := d.header()
+	for _, r := range d.Reports {
+		if len(part)+maxReportBytes > MaxBytes {
+			parts = append(parts, part)
+			part = d.header()
+		}
+		part = r.append(part)
+	}
+	return append(parts, part)
+}
+
+func (d Datagram) header() []byte {
+	b := append([]byte{}, mark[:]...)
+	passOn := byte(0)
+	if d.PassOn {
+		passOn = 1
+	}
+	b = append(b, passOn)
+	b = binary.BigEndian.AppendUint32(b, uint32(d.Sender))
+	return binary.AppendUvarint(b, d.Version)
+}
+
+func (r Aged) append(b []byte) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(r.Node))
+	b = binary.BigEndian.AppendUint32(b, r.Stamp)
+	bits := uint64(0)
+	if r.Load.Open {
+		bits |= bitOpen
+	}
+	if r.Load.Cold {
+		bits |= bitCold
+	}
+	numbers := []uint64{
+		uint64(max(r.Age, 0).Milliseconds()), bits, uint64(r.Load.Running), uint64(r.Load.Slots),
+		uint64(r.Load.Doubt * doubtScale), uint64(r.Load.Service.Milliseconds()),
+		uint64(r.Load.Trial.Milliseconds()), uint64(r.Load.Repeats),
+	}
+	for _, waiting := range r.Load.Waiting {
+		numbers = append(numbers, uint64(waiting))
+	}
+	for _, n := range numbers {
+		b = binary.AppendUvarint(b, min(n, maxNumber))
+	}
+	return b
+}
+
+// Decode reads a datagram; false if it is none.
+func Decode(b []byte) (Datagram, bool) {
+	if len(b) < 7 || b[0] != mark[0] || b[1] != mark[1] || b[2] > 1 {
+		return Datagram{}, false
+	}
+	d := Datagram{PassOn: b[2] == 1, Sender: Key(binary.BigEndian.Uint32(b[3:]))}
+	version, n := binary.Uvarint(b[7:])
+	if n <= 0 {
+		return Datagram{}, false
+	}
+	d.Version = version
+	for rest := b[7+n:]; len(rest) > 0; {
+		var r Aged
+		var ok bool
+		if r, rest, ok = decodeReport(rest); !ok {
+			return Datagram{}, false
+		}
+		d.Reports = append(d.Reports, r)
+	}
+	return d, true
+}
+
+func decodeReport(b []byte) (r Aged, rest []byte, ok bool) {
+	if len(b) < 8 {
+		return Aged{}, nil, false
+	}
+	r.Node, r.Stamp = Key(binary.BigEndian.Uint32(b)), binary.BigEndian.Uint32(b[4:])
+	b = b[8:]
+	var numbers [8 + gate.Levels]int
+	for i := range numbers {
+		value, n := binary.Uvarint(b)
+		if n <= 0 || value > maxNumber {
+			return Aged{}, nil, false
+		}
+		numbers[i], b = int(value), b[n:]
+	}
+	r.Age = time.Duration(numbers[0]) * time.Millisecond
+	r.Load = gate.Load{
+		Open: numbers[1]&bitOpen != 0, Cold: numbers[1]&bitCold != 0,
+		Running: numbers[2], Slots: numbers[3],
+		Doubt:   float64(numbers[4]) / doubtScale,
+		Service: time.Duration(numbers[5]) * time.Millisecond,
+		Trial:   time.Duration(numbers[6]) * time.Millisecond,
+		Repeats: numbers[7],
+	}
+	copy(r.Load.Waiting[:], numbers[8:])
+	return r, b, true
+}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -80,8 +80,8 @@
 	load gate.Load
 	// reported is the arrival of load; zero before the first.
 	reported time.Time
-	// sent counts the own requests since the report.
-	sent int
+	// sent are the times of the own requests since the report.
+	sent []time.Time
 	// until is the end of the pause after a refusal or a failed connection.
 	until time.Time
 	pause time.Duration
@@ -112,7 +112,8 @@
 	if best < 0 {
 		return 0, false
 	}
-	p.state(candidates[best].ID).sent++
+	s := p.state(candidates[best].ID)
+	s.sent = append(since(s.sent, now.Add(-freshReport)), now)
 	return best, true
 }
 
@@ -125,7 +126,7 @@
 		s := p.state(candidates[i].ID)
 		after := s.until.Sub(now)
 		if s.load.Open {
-			after = max(after, s.load.Wait(gate.Levels, s.sent))
+			after = max(after, s.load.Wait(gate.Levels, len(s.sent)))
 		}
 		if !s.load.Healthy() {
 			after = max(after, s.load.Trial)
@@ -156,10 +157,10 @@
 	if !s.load.Open || q.Repeat && s.load.Repeats < 1 {
 		return false
 	}
-	if !s.load.Healthy() && (!q.Idempotent || q.Last || age < s.load.Trial || s.sent > 0 || far && q.Patience == 0) {
+	if !s.load.Healthy() && (!q.Idempotent || q.Last || age < s.load.Trial || len(s.sent) > 0 || far && q.Patience == 0) {
 		return false
 	}
-	further := s.sent
+	further := len(s.sent)
 	if far && q.Patience == 0 {
 		// Reports from afar are older, and a vain hop is dearer.
 		further++
@@ -189,10 +190,10 @@
 
 // busy returns the cost of the expected use and wait.
 func (s *state) busy(load gate.Load, q Query) float64 {
-	use := min(float64(load.Running+s.sent+1)/float64(max(load.Slots, 1)), 1)
+	use := min(float64(load.Running+len(s.sent)+1)/float64(max(load.Slots, 1)), 1)
 	cost := useCost * use * use
 	if q.Objective > 0 {
-		cost += load.Wait(q.Priority, s.sent).Seconds() / q.Objective.Seconds()
+		cost += load.Wait(q.Priority, len(s.sent)).Seconds() / q.Objective.Seconds()
 	}
 	return cost
 }
@@ -208,17 +209,44 @@
 	return otherRegion + bytes
 }
 
-// Report takes the load that a node sent.
+// Report takes the load that a node sent with an answer.
 func (p *Picker) Report(now time.Time, id string, load gate.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(id)
-	s.load, s.reported, s.sent, s.pause = load, now, 0, 0
+	p.state(id).take(now, load, true)
+}
+
+// Heard takes the load of a node as it was at a time, unless something newer is
+// known. direct tells that it came from the node itself; what others pass on does
+// not show that the node can be reached.
+func (p *Picker) Heard(at time.Time, id string, load gate.Load, direct bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.state(id); at.After(s.reported) {
+		s.take(at, load, direct)
+	}
+}
+
+func (s *state) take(at time.Time, load gate.Load, reachable bool) {
+	s.load, s.reported, s.sent = load, at, since(s.sent, at)
+	if !reachable {
+		return
+	}
+	s.pause = 0
 	if load.Open {
 		s.until = time.Time{}
 	}
 }
 
+// since drops the times up to a limit from an ascending list.
+func since(times []time.Time, limit time.Time) []time.Time {
+	i := 0
+	for i < len(times) && !times[i].After(limit) {
+		i++
+	}
+	return append(times[:0], times[i:]...)
+}
+
 // Refused takes the refusal of a node without a server that takes work. Other
 // refusals come with a report that says enough.
 func (p *Picker) Refused(now time.Time, id string, refusal gate.Refusal) {
--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -6,95 +6,38 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"strconv"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/tarragonford/tarragonford/internal/beacon"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/pick"
 )
 
-// Intervals of beacons.
+// Intervals of beacons. At the size to design for they keep a node within the
+// 13 kB/s of control; see docs/CAPACITY.md.
 const (
-	// localInterval is the shortest time between two beacons to the own data
-	// centre, for each hundred of its nodes; remoteInterval is that to others,
-	// where bytes are dear.
-	localInterval  = 50 * time.Millisecond
-	remoteInterval = 300 * time.Millisecond
-	// refreshInterval is the longest time between two beacons.
+	// localInterval is the shortest time between two beacons of a node to a data
+	// centre of up to localNodes; it grows with the data centre.
+	localInterval = 50 * time.Millisecond
+	localNodes    = 30
+	// digestInterval is the mean time between two digests of a data centre of
+	// up to digestNodes to another one; it grows with the data centre.
+	digestInterval = 200 * time.Millisecond
+	digestNodes    = 30
+	// refreshInterval is the longest time between two beacons of a node.
 	refreshInterval = time.Second
-	// nodesPerInterval is the number of nodes of a data centre for which
-	// localInterval holds.
-	nodesPerInterval = 100
 	// urgentRelays is the number of nodes of another data centre that get a
 	// beacon about a change of health, of which any may be cut off; usualRelays
-	// is that for other beacons.
+	// is that for digests.
 	urgentRelays = 2
 	usualRelays  = 1
-	// maxBeacon bounds a datagram in bytes.
-	maxBeacon = 512
 )
 
-// beacon is the load of the server beside one node. Nodes send it as a datagram
-// to the nodes of their data centre, and to a few of each other one, which pass
-// it on.
-type beacon struct {
-	node string
-	// incarnation is the start of the process in Unix milliseconds; sequence
-	// rises with each beacon of a process.
-	incarnation, sequence int64
-	// passOn asks the receiver to send it to the rest of its data centre.
-	passOn bool
-	report report
-}
-
-// beaconMark begins each datagram, so that others are told apart.
-const beaconMark = "T1"
-
-func (b beacon) encode() []byte {
-	return []byte(strings.Join([]string{
-		beaconMark, b.node, strconv.FormatInt(b.incarnation, 36), strconv.FormatInt(b.sequence, 36),
-		strconv.Itoa(bit(b.passOn)), b.report.encode(),
-	}, "|"))
-}
-
-func decodeBeacon(data []byte) (beacon, bool) {
-	fields := strings.Split(string(data), "|")
-	if len(fields) != 6 || fields[0] != beaconMark {
-		return beacon{}, false
-	}
-	incarnation, err := strconv.ParseInt(fields[2], 36, 64)
-	sequence, err2 := strconv.ParseInt(fields[3], 36, 64)
-	r, ok := decodeReport(fields[5])
-	if err != nil || err2 != nil || !ok {
-		return beacon{}, false
-	}
-	return beacon{node: fields[1], incarnation: incarnation, sequence: sequence, passOn: fields[4] == "1", report: r}, true
-}
-
-// beaconOrder tells old beacons from new ones. Datagrams can be late and double.
-type beaconOrder struct {
-	mu   sync.Mutex
-	last map[string][2]int64
-}
-
-// newer reports whether b is the newest beacon of its node, and remembers it.
-func (o *beaconOrder) newer(b beacon) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	last := o.last[b.node]
-	if b.incarnation < last[0] || b.incarnation == last[0] && b.sequence <= last[1] {
-		return false
-	}
-	o.last[b.node] = [2]int64{b.incarnation, b.sequence}
-	return true
-}
-
-// beacons sends the beacons of the own server and takes those of others.
+// beacons sends the load of the own server and takes that of others, as package
+// beacon describes.
 type beacons struct {
 	self      Member
 	board     *Board
@@ -103,9 +46,8 @@
 	log       *zap.Logger
 	onVersion func(version uint64, addr string)
 
-	conn        *net.UDPConn
-	incarnation int64
-	order       beaconOrder
+	conn  *net.UDPConn
+	table *beacon.Table
 	// dirty holds one token while the load has changed since the last beacon.
 	dirty chan struct{}
 }
@@ -129,7 +71,7 @@
 
 // receive takes beacons until the socket is closed.
 func (b *beacons) receive() error {
-	buffer := make([]byte, maxBeacon)
+	buffer := make([]byte, beacon.MaxBytes)
 	for {
 		n, err := b.conn.Read(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -140,27 +82,41 @@
 			b.log.Debug("beacon not read", zap.Error(err))
 			continue
 		}
-		if received, ok := decodeBeacon(buffer[:n]); ok {
+		if received, ok := beacon.Decode(buffer[:n]); ok {
 			b.take(received)
 		}
 	}
 }
 
-func (b *beacons) take(received beacon) {
-	if received.node == b.self.ID || !b.order.newer(received) {
-		return
-	}
-	b.picker.Report(time.Now(), received.node, received.report.Load)
+func (b *beacons) take(received beacon.Datagram) {
+	now := time.Now()
 	view := b.board.View()
-	if member, ok := view.Members[received.node]; ok {
-		b.onVersion(received.report.version, member.Addr)
+	if sender, ok := view.memberOf(received.Sender); ok {
+		b.onVersion(received.Version, sender.Addr)
+	}
+	for _, r := range received.Reports {
+		member, known := view.memberOf(r.Node)
+		if !known || member.ID == b.self.ID || !b.table.Take(now, r) {
+			continue
+		}
+		b.picker.Heard(now.Add(-r.Age), member.ID, r.Load, r.Node == received.Sender && !received.PassOn)
 	}
-	if received.passOn {
-		received.passOn = false
+	if received.PassOn {
+		received.PassOn = false
 		b.sendTo(view.near(b.self), received)
 	}
 }
 
+// memberOf returns the node of a key, unless several share it.
+func (v *View) memberOf(key beacon.Key) (Member, bool) {
+	id, ok := v.keys[key]
+	if !ok {
+		return Member{}, false
+	}
+	member, ok := v.Members[id]
+	return member, ok
+}
+
 // near returns the other nodes of a node's data centre.
 func (v *View) near(self Member) []Member {
 	var near []Member
@@ -172,65 +128,96 @@
 	return near
 }
 
-// run sends a beacon after each change of the load, within the intervals.
+// run sends a beacon after each change of the load, and digests in turn, within
+// the intervals.
 func (b *beacons) run(ctx context.Context) {
-	var lastRemote time.Time
 	var before gate.Load
-	for sequence := int64(1); ctx.Err() == nil; sequence++ {
+	nextDigest := time.Now()
+	for ctx.Err() == nil {
 		now := time.Now()
 		view := b.board.View()
-		load := b.gate.Load(now)
-		message := beacon{node: b.self.ID, incarnation: b.incarnation, sequence: sequence, report: report{Load: load}}
-		message.report.Open = load.Open && !view.Leaving
-		if view.Config != nil {
-			message.report.version = view.Config.Version
-		}
 		near := view.near(b.self)
+		message := b.report(now, view)
+		load := message.Reports[0].Load
 		b.sendTo(near, message)
-		urgent := before.Open != message.report.Open || before.Healthy() != load.Healthy()
-		if urgent || now.Sub(lastRemote) >= remoteInterval {
-			message.passOn = true
-			b.sendFar(view, message, urgent)
-			lastRemote = now
+		if before.Open != load.Open || before.Healthy() != load.Healthy() {
+			message.PassOn = true
+			b.sendFar(view, message, urgentRelays)
 		}
 		before = load
-		before.Open = message.report.Open
-		sleep(ctx, localInterval*time.Duration(1+len(near)/nodesPerInterval))
+		if !now.Before(nextDigest) {
+			b.sendFar(view, b.digest(now, view, near), usualRelays)
+			nextDigest = now.Add(digestPause(1+len(near), rand.Float64()))
+		}
+		sleep(ctx, localInterval*time.Duration(max(len(near), localNodes))/localNodes)
 		select {
 		case <-b.dirty:
-		case <-time.After(refreshInterval):
+		case <-time.After(min(refreshInterval, max(time.Until(nextDigest), 0))):
 		case <-ctx.Done():
 		}
 	}
 }
 
-// sendFar sends a beacon to a few nodes of each other data centre.
-func (b *beacons) sendFar(view *View, message beacon, urgent bool) {
+// digestPause returns the time until a node of a data centre sends its next
+// digest. random is uniform from 0 to 1.
+func digestPause(nodes int, random float64) time.Duration {
+	interval := digestInterval * time.Duration(max(nodes, digestNodes)) / digestNodes
+	return time.Duration((0.5 + random) * float64(interval) * float64(nodes))
+}
+
+// report returns a datagram with the load of the own server.
+func (b *beacons) report(now time.Time, view *View) beacon.Datagram {
+	key := beacon.KeyOf(b.self.ID)
+	load := b.gate.Load(now)
+	load.Open = load.Open && !view.Leaving
+	own := beacon.Aged{Report: beacon.Report{Node: key, Stamp: beacon.StampOf(now), Load: load}}
+	b.table.Take(now, own)
+	return beacon.Datagram{Sender: key, Version: view.version(), Reports: []beacon.Aged{own}}
+}
+
+// digest returns a datagram with the fresh reports of the own data centre.
+func (b *beacons) digest(now time.Time, view *View, near []Member) beacon.Datagram {
+	keys := []beacon.Key{beacon.KeyOf(b.self.ID)}
+	for _, member := range near {
+		keys = append(keys, beacon.KeyOf(member.ID))
+	}
+	return beacon.Datagram{Sender: keys[0], Version: view.version(), PassOn: true, Reports: b.table.Fresh(now, keys)}
+}
+
+// version returns the version of the configuration in force, 0 for none.
+func (v *View) version() uint64 {
+	if v.Config == nil {
+		return 0
+	}
+	return v.Config.Version
+}
+
+// sendFar sends a datagram to a few nodes of each other data centre.
+func (b *beacons) sendFar(view *View, message beacon.Datagram, relays int) {
 	far := map[string][]Member{}
 	for _, member := range view.Members {
 		if member.DataCentre != b.self.DataCentre {
 			far[member.DataCentre] = append(far[member.DataCentre], member)
 		}
 	}
-	relays := usualRelays
-	if urgent {
-		relays = urgentRelays
-	}
 	for _, members := range far {
 		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 		b.sendTo(members[:min(relays, len(members))], message)
 	}
 }
 
-func (b *beacons) sendTo(members []Member, message beacon) {
-	data := message.encode()
+func (b *beacons) sendTo(members []Member, message beacon.Datagram) {
+	parts := message.Encode()
 	for _, member := range members {
 		addr, err := netip.ParseAddrPort(member.Beacon)
 		if err != nil {
+			b.log.Error("address for beacons not understood", zap.String("node", member.ID), zap.Error(err))
 			continue
 		}
-		if _, err := b.conn.WriteToUDPAddrPort(data, addr); err != nil {
-			b.log.Debug("beacon not sent", zap.String("node", member.ID), zap.Error(err))
+		for _, data := range parts {
+			if _, err := b.conn.WriteToUDPAddrPort(data, addr); err != nil {
+				b.log.Debug("beacon not sent", zap.String("node", member.ID), zap.Error(err))
+			}
 		}
 	}
 }
--- a/internal/sidecar/board.go
+++ b/internal/sidecar/board.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonford/tarragonford/internal/beacon"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/pick"
 	"github.com/tarragonford/tarragonford/internal/registration"
@@ -36,6 +37,9 @@
 	MembersKnown bool
 	// Services lists the nodes beside the servers of each service.
 	Services map[string]*Pool
+	// keys maps the names of nodes in beacons to their IDs, except names that
+	// several nodes share.
+	keys map[beacon.Key]string
 	// Server is the own backend server; its ID is empty if none registered.
 	Server registration.Server
 	// Leaving is set when the process stops. StopSince is then the start of the
@@ -142,6 +146,7 @@
 		StopSince:    s.stopSince,
 		StopAt:       s.stopAt,
 	}
+	view.keys = keysOf(s.members)
 	for id, member := range s.members {
 		view.Members[id] = member
 		pool := view.Services[member.Service]
@@ -158,6 +163,22 @@
 	return view
 }
 
+func keysOf(members map[string]Member) map[beacon.Key]string {
+	keys := make(map[beacon.Key]string, len(members))
+	shared := map[beacon.Key]bool{}
+	for id := range members {
+		key := beacon.KeyOf(id)
+		if _, taken := keys[key]; taken {
+			shared[key] = true
+		}
+		keys[key] = id
+	}
+	for key := range shared {
+		delete(keys, key)
+	}
+	return keys
+}
+
 // heartbeat takes a report of the own server.
 func (s *state) heartbeat(now time.Time, report registration.Report) bool {
 	return s.registry.Heartbeat(now, report)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/tarragonford/tarragonford/internal/beacon"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
 	"github.com/tarragonford/tarragonford/internal/pick"
@@ -80,7 +81,7 @@
 func New(parts Parts) *Node {
 	s := parts.Settings
 	n := &Node{parts: parts, settings: s, log: parts.Telemetry.Log}
-	n.beacons = &beacons{incarnation: time.Now().UnixMilli(), dirty: make(chan struct{}, 1), order: beaconOrder{last: map[string][2]int64{}}}
+	n.beacons = &beacons{dirty: make(chan struct{}, 1), table: beacon.NewTable()}
 	n.gate = gate.New(time.Now(), n.beacons.changed)
 	n.lifetime, n.end = context.WithCancel(context.Background())
 	self := Member{ID: s.Node, Addr: s.Inbound, Beacon: s.Beacon, DataCentre: s.DataCentre, Region: s.Region, Service: s.Service}
