See early that a silent store is back

The logs show why: the nodes start together, so all watches ended at 4.8, inside the silence; each node lost its watch at 7.8 and made the next one at about 8, for 12 s more, into a store that was still silent. Nothing shows such a watch as lost until 15 s later. Change: while the store is lost a watch does not wait, so a lost one is noticed after 1.5 s; watches have different lengths, a fifth of them about 1 s, so that those of all nodes are not lost together; a new configuration makes a beacon, by which the others learn of it. Ruled out: short watches on all nodes (0.7 calls a second each), a few chosen watchers (they can freeze).

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -98,7 +99,7 @@
 	n.peers = newPeerClient()
 	n.syncer = &syncer{
 		self: self, settings: s, board: n.board, source: parts.Source,
-		configuration: parts.Configuration, peers: n.peers, log: n.log,
+		configuration: parts.Configuration, peers: n.peers, log: n.log, random: rand.Float64,
 	}
 	n.entry = &entry{
 		settings: s, board: n.board, picker: n.picker, splitter: n.splitter, peers: n.peers,
@@ -121,6 +122,8 @@
 func (n *Node) changed(before, after *View) {
 	if before.Config != after.Config {
 		n.splitter.Reset()
+		// Beacons tell the version to nodes that the store has not told.
+		n.beacons.changed()
 		n.parts.Telemetry.Metrics.ConfigVersion.Set(int64(after.Config.Version))
 	}
 	n.shareRepeats(after)
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -23,8 +23,14 @@
 	// left beside each node.
 	TableMembers = "members"
 	TableLeft    = "left"
-	// watchTime is how long the store holds a watch without changes.
-	watchTime = 12 * time.Second
+	// watchTime is how long the store holds most watches without changes, on
+	// average; shortWatchTime holds for a share of them. A watch that the store
+	// loses without a sign hangs until its end, and often those of all nodes are
+	// made at the same moment, after a change. The nodes with a short one then
+	// learn of it soon, and tell the others.
+	watchTime       = 12 * time.Second
+	shortWatchTime  = time.Second
+	shortWatchShare = 0.2
 	// membersPause lets the changes of many members arrive in one answer;
 	// configurationPause does the same for a series of configurations, well
 	// within the time in which one must be in force.
@@ -62,6 +68,8 @@
 	log           *zap.Logger
 	// asking is set while another node is asked for its state.
 	asking atomic.Bool
+	// random yields uniform numbers from 0 to 1.
+	random func() float64
 }
 
 // follow reads a table and applies its changes until ctx ends.
@@ -69,7 +77,7 @@
 	version, known, down := uint64(0), false, false
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		err := s.step(ctx, table, &version, &known, apply)
+		err := s.step(ctx, table, &version, &known, s.watchFor(down), apply)
 		if err == nil {
 			if down {
 				s.log.Info("dependency regained", zap.String("dependency", "store"), zap.String("table", table))
@@ -92,7 +100,20 @@
 	}
 }
 
-func (s *syncer) step(ctx context.Context, table string, version *uint64, known *bool, apply func([]platform.Row, []platform.Change)) error {
+// watchFor returns how long the next watch waits for a change. While the store is
+// lost it does not wait at all, to see early that the store is back.
+func (s *syncer) watchFor(lost bool) time.Duration {
+	if lost {
+		return 0
+	}
+	mean := watchTime
+	if s.random() < shortWatchShare {
+		mean = shortWatchTime
+	}
+	return time.Duration((0.75 + s.random()/2) * float64(mean))
+}
+
+func (s *syncer) step(ctx context.Context, table string, version *uint64, known *bool, wait time.Duration, apply func([]platform.Row, []platform.Change)) error {
 	if !*known {
 		rows, at, err := s.source.Snapshot(ctx, table)
 		if err != nil {
@@ -102,7 +123,7 @@
 		apply(rows, nil)
 		return nil
 	}
-	changes, next, err := s.source.Watch(ctx, table, *version, watchTime)
+	changes, next, err := s.source.Watch(ctx, table, *version, wait)
 	if err != nil {
 		return err
 	}
