Ask another node when a connection takes longer than 150 ms

Change: a request waits 150 ms for a connection and then goes on to another node; nothing of it was sent. The connection is made on for later requests. Ruled out: a shorter time for the connection itself (a slow node would never get one).

--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -21,6 +21,10 @@
 const (
 	// peerDialTimeout bounds a connection to another node, some milliseconds away.
 	peerDialTimeout = 400 * time.Millisecond
+	// peerConnectTime is how long a request waits for a connection before another
+	// node is asked, some times the round trip between regions. The connection
+	// is still made for later requests.
+	peerConnectTime = 150 * time.Millisecond
 	// peerUserTimeout ends a connection to a node that acknowledges nothing.
 	peerUserTimeout = 1500 * time.Millisecond
 	// peerSilence is the time without a frame after which a connection to
@@ -42,8 +46,12 @@
 
 func newPeerClient() *peerClient {
 	dialer := net.Dialer{Timeout: peerDialTimeout, Control: setUserTimeout}
+	return newPeerClientWith(dialer.DialContext)
+}
+
+func newPeerClientWith(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *peerClient {
 	transport := &http.Transport{
-		DialContext:        dialer.DialContext,
+		DialContext:        dial,
 		DisableCompression: true,
 		IdleConnTimeout:    peerIdle,
 		Protocols:          new(http.Protocols),
@@ -65,6 +73,14 @@
 	// The hook after the headers runs too late for a request that is cancelled
 	// while they are written.
 	var sent atomic.Bool
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	connecting := time.AfterFunc(peerConnectTime, func() {
+		if !sent.Load() {
+			cancel()
+		}
+	})
+	defer connecting.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
