Explain a failed request from the logs of the nodes

The line of a request named its hops but not what they were chosen by, no line told that a server was doubted or a node unreachable, the volume was bounded by a queue only, and nobody could put the lines of several nodes together. Ruled out: one budget of lines for all kinds (good requests would crowd out failures).

--- a/cmd/tarragon-sidecar/main.go
+++ b/cmd/tarragon-sidecar/main.go
@@ -26,6 +26,10 @@
 // logLines bounds the log lines that wait for the standard output.
 const logLines = 4096
 
+// logLinesPerSecond bounds the lines of each kind. At 66 requests a second, the
+// peak of a node at the size to design for, none is left out.
+const logLinesPerSecond = 150
+
 // options are the flags of the command.
 type options struct {
 	Config      string `long:"config" description:"settings file; default: the one that the platform names"`
@@ -66,7 +70,7 @@
 	out := telemetry.NewAsyncWriter(os.Stdout, logLines)
 	defer out.Close()
 	t, err := telemetry.NewFor(context.Background(),
-		telemetry.Process{Name: program, Version: buildinfo.Version(), Log: out},
+		telemetry.Process{Name: program, Version: buildinfo.Version(), Log: out, LinesPerSecond: logLinesPerSecond},
 		settings.Node{
 			ID: config.Node, Region: config.Region, DataCentre: config.DataCentre,
 			Telemetry: settings.Telemetry{LogFormat: "json", LogLevel: o.LogLevel},
--- a/cmd/tarragonctl/main.go
+++ b/cmd/tarragonctl/main.go
@@ -84,6 +84,7 @@
 	a.addIntentCommands(parser)
 	a.addStepCommands(parser)
 	a.addReadCommands(parser)
+	a.addExplainCommand(parser)
 	_, err := parser.ParseArgs(args)
 	return a.report(err)
 }
--- /dev/null
+++ b/internal/explain/write.go
@@ -0,0 +1,74 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Write prints the lines of a request, one a row, with its hops below it.
+func Write(w io.Writer, request string, lines []Line) error {
+	for _, line := range lines {
+		mark := " "
+		if line.Request == request {
+			mark = "*"
+		}
+		if _, err := fmt.Fprintf(w, "%s %s  %-22s %s\n", mark, line.Time.UTC().Format("15:04:05.000"), line.Node, describe(line)); err != nil {
+			return trace.Wrap(err)
+		}
+		for _, hop := range line.Hops {
+			if _, err := fmt.Fprintf(w, "      %5d ms  to %s, %s: %s after %d ms\n", hop.SentMS, hop.Node, known(hop), hop.Result, hop.EndMS-hop.SentMS); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+	}
+	return nil
+}
+
+// known tells what the entry knew of the server of a hop.
+func known(hop Hop) string {
+	if hop.AgeMS == nil || hop.WaitMS == nil || hop.Doubt == nil {
+		return "of which nothing was known"
+	}
+	return fmt.Sprintf("doubt %.2f and wait %d ms by a report %d ms old", *hop.Doubt, *hop.WaitMS, *hop.AgeMS)
+}
+
+// describe tells what a line says in a few words.
+func describe(line Line) string {
+	switch line.Message {
+	case "request":
+		text := fmt.Sprintf("request %s to %s: %d", line.Request, line.Service, line.Status)
+		if line.Code != 0 {
+			text += fmt.Sprintf(", code %d (%s)", line.Code, line.Reason)
+		}
+		return text + fmt.Sprintf(", %d attempts in %s, configuration %d", line.Attempts, line.Took, line.Config)
+	case "host":
+		text := fmt.Sprintf("host: %s", line.Result)
+		if line.Status != 0 {
+			text += fmt.Sprintf(" %d", line.Status)
+		}
+		if line.Error != "" {
+			text += " (" + line.Error + ")"
+		}
+		return text + fmt.Sprintf(" in %s; running %d, waiting %s, doubt %.2f", line.Took, line.Running, counts(line.Waiting), line.Doubt)
+	case "server doubtful", "server trusted":
+		text := fmt.Sprintf("%s: doubt %.2f after evidence %s", line.Message, line.Doubt, line.Evidence)
+		if line.Request != "" {
+			text += " of " + line.Request
+		}
+		return text
+	case "configuration in force":
+		return fmt.Sprintf("%s: version %d", line.Message, line.Version)
+	case "server":
+		return fmt.Sprintf("server %s, leaving: %t", line.Server, line.Leaving)
+	case "dependency lost", "dependency regained":
+		return fmt.Sprintf("%s: %s %s", line.Message, line.Dependency, line.Error)
+	}
+	return line.Message
+}
+
+func counts(numbers []int) string {
+	return strings.Trim(strings.ReplaceAll(fmt.Sprint(numbers), " ", "+"), "[]")
+}
--- a/internal/gate/doubt.go
+++ b/internal/gate/doubt.go
@@ -46,6 +46,11 @@
 	Stall
 )
 
+// String returns the name of the evidence for logs.
+func (e Evidence) String() string {
+	return [...]string{"none", "success", "failure", "shed", "stall"}[e]
+}
+
 // Doubt is the probability that a server is in a spell of failures.
 type Doubt struct {
 	value float64
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -92,9 +92,22 @@
 	return &Picker{dataCentre: dataCentre, region: region, nodes: map[string]*state{}}
 }
 
-// Choose returns the index of the candidate of the lowest cost, or false if
-// none can take the request. random yields uniform numbers from 0 to 1.
-func (p *Picker) Choose(now time.Time, random func() float64, candidates []Candidate, q Query) (int, bool) {
+// Choice is the candidate that was chosen and what was known of it.
+type Choice struct {
+	// Index is that of the candidate.
+	Index int
+	// Known tells that the node has reported; Age is the age of its report.
+	Known bool
+	Age   time.Duration
+	// Doubt and Wait are what the choice took for the probability of a spell of
+	// failures and for the time until a slot is free.
+	Doubt float64
+	Wait  time.Duration
+}
+
+// Choose returns the candidate of the lowest cost, or false if none can take the
+// request. random yields uniform numbers from 0 to 1.
+func (p *Picker) Choose(now time.Time, random func() float64, candidates []Candidate, q Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, bestCost := -1, math.Inf(1)
@@ -110,11 +123,28 @@
 		}
 	}
 	if best < 0 {
-		return 0, false
+		return Choice{}, false
 	}
 	s := p.state(candidates[best].ID)
+	choice := s.choice(now, q)
+	choice.Index = best
 	s.sent = append(since(s.sent, now.Add(-freshReport)), now)
-	return best, true
+	return choice, true
+}
+
+func (s *state) choice(now time.Time, q Query) Choice {
+	c := Choice{Doubt: usualDoubt, Wait: s.load.Wait(q.Priority, len(s.sent))}
+	if !s.reported.IsZero() {
+		c.Known, c.Age = true, now.Sub(s.reported)
+		c.Doubt = s.doubt(now)
+	}
+	return c
+}
+
+// doubt returns the reported doubt, which drifts to the usual one with its age.
+func (s *state) doubt(now time.Time) float64 {
+	age := now.Sub(s.reported).Seconds()
+	return usualDoubt + (s.load.Doubt-usualDoubt)*math.Exp(-age/doubtMemory.Seconds())
 }
 
 // Soonest returns the time after which one of the candidates may take work.
@@ -178,7 +208,7 @@
 		load = gate.Load{Slots: usualSlots, Service: usualService}
 	} else {
 		age := now.Sub(s.reported).Seconds()
-		doubt += (load.Doubt - usualDoubt) * math.Exp(-age/doubtMemory.Seconds())
+		doubt = s.doubt(now)
 		load.Running = int(float64(load.Running) * math.Exp(-age/loadMemory.Seconds()))
 	}
 	cost := loss*doubt + s.busy(load, q)
@@ -209,11 +239,15 @@
 	return otherRegion + bytes
 }
 
-// Report takes the load that a node sent with an answer.
-func (p *Picker) Report(now time.Time, id string, load gate.Load) {
+// Report takes the load that a node sent with an answer. It returns true if the
+// node was held for unreachable before.
+func (p *Picker) Report(now time.Time, id string, load gate.Load) (reached bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(id).take(now, load, true)
+	s := p.state(id)
+	reached = s.pause > 0
+	s.take(now, load, true)
+	return reached
 }
 
 // Heard takes the load of a node as it was at a time, unless something newer is
@@ -258,11 +292,14 @@
 	p.state(id).pauseFrom(now)
 }
 
-// Unreachable takes a failed connection.
-func (p *Picker) Unreachable(now time.Time, id string) {
+// Unreachable takes a failed connection. It returns the time for which the node
+// is left out.
+func (p *Picker) Unreachable(now time.Time, id string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(id).pauseFrom(now)
+	s := p.state(id)
+	s.pauseFrom(now)
+	return s.pause
 }
 
 func (s *state) pauseFrom(now time.Time) {
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -26,11 +26,11 @@
 // chosen returns the node for a query, empty if there is none.
 func chosen(p *Picker, q Query) string {
 	q.Objective = 2 * time.Second
-	i, ok := p.Choose(start, zero, nodes, q)
+	choice, ok := p.Choose(start, zero, nodes, q)
 	if !ok {
 		return ""
 	}
-	return nodes[i].ID
+	return nodes[choice.Index].ID
 }
 
 func TestTheNearNodeIsChosenWhileItIsSound(t *testing.T) {
--- a/internal/pick/spells_test.go
+++ b/internal/pick/spells_test.go
@@ -114,10 +114,11 @@
 }
 
 func (w *world) offer(idempotent bool) (int, *gate.Ticket) {
-	i, ok := w.picker.Choose(w.now, w.random.Float64, w.nodes, Query{Idempotent: idempotent, Objective: 2 * time.Second})
+	choice, ok := w.picker.Choose(w.now, w.random.Float64, w.nodes, Query{Idempotent: idempotent, Objective: 2 * time.Second})
 	if !ok {
 		return 0, nil
 	}
+	i := choice.Index
 	ticket, _, _ := w.servers[i].gate.Offer(w.now, gate.Work{Idempotent: idempotent, Objective: w.now.Add(2 * time.Second)})
 	return i, ticket
 }
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"github.com/tarragonford/tarragonford/internal/codes"
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/gate"
@@ -43,7 +47,7 @@
 		if hops == quickHops {
 			x.startWaiting()
 		}
-		member, ok := x.choose()
+		member, choice, ok := x.choose()
 		if !ok {
 			if x.arrivals > 0 {
 				x.entry.telemetry.Metrics.RetriesRefused.Inc()
@@ -55,6 +59,7 @@
 			continue
 		}
 		hops++
+		x.hops = append(x.hops, hopRecord{node: member.ID, sent: time.Since(x.started), choice: choice})
 		reply, err := x.send(ctx, member)
 		next, answer := x.judge(ctx, member, reply, err)
 		if answer != nil {
@@ -69,12 +74,12 @@
 }
 
 // choose picks the next node.
-func (x *exchange) choose() (Member, bool) {
+func (x *exchange) choose() (Member, pick.Choice, bool) {
 	e := x.entry
 	x.view = e.board.View()
 	pool := x.view.Services[x.service]
 	if pool == nil {
-		return Member{}, false
+		return Member{}, pick.Choice{}, false
 	}
 	now := time.Now()
 	query := pick.Query{
@@ -87,18 +92,18 @@
 		AnswerBytes: e.sizes.of(x.route.ID),
 		Exclude:     func(id string) bool { _, tried := x.tried[id]; return tried },
 	}
-	i, ok := e.picker.Choose(now, rand.Float64, pool.Candidates, query)
+	choice, ok := e.picker.Choose(now, rand.Float64, pool.Candidates, query)
 	if !ok && x.startWaiting() {
 		query.Patience = x.patience(now)
-		i, ok = e.picker.Choose(now, rand.Float64, pool.Candidates, query)
+		choice, ok = e.picker.Choose(now, rand.Float64, pool.Candidates, query)
 	}
 	if !ok {
-		return Member{}, false
+		return Member{}, pick.Choice{}, false
 	}
 	if query.Repeat {
 		e.telemetry.Metrics.Retries.Inc()
 	}
-	return pool.Members[i], true
+	return pool.Members[choice.Index], choice, true
 }
 
 // startWaiting lets nodes that had no free slot be asked once more, now for a
@@ -195,33 +200,31 @@
 	e := x.entry
 	now := time.Now()
 	if reply != nil && reply.hasReport {
-		e.picker.Report(now, member.ID, reply.report.Load)
+		if e.picker.Report(now, member.ID, reply.report.Load) {
+			e.log.Info("node reachable", zap.String("peer", member.ID), zap.String("request", x.request.id))
+		}
 		e.onVersion(reply.report.version, member.Addr)
 	}
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
-		x.note(member, "unreachable")
-		if ctx.Err() == nil {
-			e.picker.Unreachable(now, member.ID)
-		}
+		x.note("unreachable")
+		x.unreachable(ctx, member, err)
 		x.tried[member.ID] = true
 		return true, nil
 	case err != nil:
-		x.note(member, "lost")
-		if ctx.Err() == nil {
-			e.picker.Unreachable(now, member.ID)
-		}
+		x.note("lost")
+		x.unreachable(ctx, member, err)
 		x.tried[member.ID] = true
 		x.attempts++
 		x.arrivals++
 		return x.request.idempotent && x.mayRepeat(now), nil
 	case reply.refused != nil:
-		x.note(member, reply.refused.reason.String())
+		x.note(reply.refused.reason.String())
 		e.picker.Refused(now, member.ID, reply.refused.reason)
 		x.tried[member.ID] = reply.refused.reason != gate.Busy || x.waiting
 		return true, nil
 	case reply.answer == nil:
-		x.note(member, "answer-lost")
+		x.note("answer-lost")
 		x.tried[member.ID] = true
 		x.attempts++
 		x.arrivals++
@@ -231,7 +234,7 @@
 }
 
 func (x *exchange) judgeAnswer(member Member, answer *httpconn.Answer, now time.Time) (bool, *httpconn.Answer) {
-	x.note(member, fmt.Sprint(answer.Status))
+	x.note(strconv.Itoa(answer.Status))
 	x.tried[member.ID] = true
 	x.arrivals++
 	if x.entry.headers.NotRun(answer.Status, answer.Header) {
@@ -247,8 +250,45 @@
 	return false, answer
 }
 
-func (x *exchange) note(member Member, result string) {
-	x.path = append(x.path, fmt.Sprintf("%s %s %dms", member.ID, result, time.Since(x.started).Milliseconds()))
+// unreachable leaves a node out for a while, unless the hop ended because the
+// caller left or its time was up.
+func (x *exchange) unreachable(ctx context.Context, member Member, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	pause := x.entry.picker.Unreachable(time.Now(), member.ID)
+	x.entry.log.Warn("node unreachable", zap.String("peer", member.ID), zap.String("request", x.request.id),
+		zap.Error(err), zap.Duration("left_out", pause))
+}
+
+// hopRecord is a hop for the log: what was known of the node when it was chosen,
+// and what became of the request there.
+type hopRecord struct {
+	node   string
+	choice pick.Choice
+	// sent and ended are the times since the start of the exchange.
+	sent, ended time.Duration
+	result      string
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (h hopRecord) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("node", h.node)
+	enc.AddString("result", h.result)
+	enc.AddInt64("sent_ms", h.sent.Milliseconds())
+	enc.AddInt64("ended_ms", h.ended.Milliseconds())
+	if h.choice.Known {
+		enc.AddInt64("age_ms", h.choice.Age.Milliseconds())
+		enc.AddInt64("wait_ms", h.choice.Wait.Milliseconds())
+		enc.AddFloat64("doubt", math.Round(h.choice.Doubt*shareScale)/shareScale)
+	}
+	return nil
+}
+
+// note records the result of the newest hop.
+func (x *exchange) note(result string) {
+	hop := &x.hops[len(x.hops)-1]
+	hop.result, hop.ended = result, time.Since(x.started)
 }
 
 // conclude answers the caller with the last answer of a server or with a coded
--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -45,6 +45,8 @@
 	picker    *pick.Picker
 	log       *zap.Logger
 	onVersion func(version uint64, addr string)
+	// onLoad is called with each beacon of the own server.
+	onLoad func()
 
 	conn  *net.UDPConn
 	table *beacon.Table
@@ -140,6 +142,7 @@
 		message := b.report(now, view)
 		load := message.Reports[0].Load
 		b.sendTo(near, message)
+		b.onLoad()
 		if before.Open != load.Open || before.Healthy() != load.Healthy() {
 			message.PassOn = true
 			b.sendFar(view, message, urgentRelays)
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -68,8 +68,8 @@
 	tried map[string]bool
 	// waiting is set once the request asks for a place in a queue.
 	waiting bool
-	// path lists the hops for the log.
-	path []string
+	// hops are the nodes that were asked, for the log.
+	hops []hopRecord
 }
 
 // ServeHTTP implements http.Handler.
@@ -265,14 +265,21 @@
 	if x.view.Config != nil {
 		version = x.view.Config.Version
 	}
-	e.log.Info("request",
+	level := zap.InfoLevel
+	if status >= http.StatusInternalServerError {
+		// Lines of failed requests have a budget of their own.
+		level = zap.WarnLevel
+	}
+	e.log.Log(level, "request",
 		zap.String("request", x.request.id),
 		zap.String("route", x.route.ID),
 		zap.String("target_service", x.service),
+		zap.Int("priority", x.request.priority),
+		zap.Bool("idempotent", x.request.idempotent),
 		zap.Int("status", status),
 		zap.Int("code", code),
 		zap.NamedError("reason", err),
-		zap.Strings("path", x.path),
+		zap.Objects("hops", x.hops),
 		zap.Int("attempts", x.attempts),
 		zap.Uint64("config", version),
 		zap.Duration("took", took))
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -64,6 +65,8 @@
 	telemetry *telemetry.Telemetry
 	// onForeign is called when another incarnation has the server's address.
 	onForeign func(registration.Incarnation)
+	// doubtful is whether the last log line called the server doubtful.
+	doubtful atomic.Bool
 }
 
 // serve runs one request and reports the load of the server.
@@ -129,7 +132,10 @@
 		h.gate.Cancel(time.Now(), ticket)
 		return refuse(gate.Closed, 0)
 	}
-	stall := time.AfterFunc(max(stallFactor*h.gate.Load(time.Now()).Service, minStall), func() { h.gate.Stalled(time.Now()) })
+	stall := time.AfterFunc(max(stallFactor*h.gate.Load(time.Now()).Service, minStall), func() {
+		h.gate.Stalled(time.Now())
+		h.judge(r.id, gate.Stall)
+	})
 	h.telemetry.Metrics.Dispatches.Inc()
 	started := time.Now()
 	answer, err := h.pool.Do(ctx, h.addr, h.request(server, r))
@@ -138,6 +144,7 @@
 	h.telemetry.Metrics.ServerTime.Record(ended.Sub(started))
 	evidence := h.evidence(ctx, answer, err)
 	h.gate.Done(ended, ticket, evidence)
+	h.judge(r.id, evidence)
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
 		return refuse(gate.Closed, 0)
@@ -186,6 +193,23 @@
 	return gate.Success
 }
 
+// judge logs when the result of a request, or its absence, changes whether the
+// server is trusted with non-idempotent work. request is empty if only time passed.
+func (h *host) judge(request string, evidence gate.Evidence) {
+	load := h.gate.Load(time.Now())
+	doubtful := !load.Healthy()
+	if h.doubtful.Swap(doubtful) == doubtful {
+		return
+	}
+	message := "server trusted"
+	if doubtful {
+		message = "server doubtful"
+	}
+	h.log.Info(message, zap.String("server", h.board.View().Server.ID), zap.Float64("doubt", load.Doubt),
+		zap.String("evidence", evidence.String()), zap.String("request", request),
+		zap.Int("running", load.Running), zap.Ints("waiting", load.Waiting[:]))
+}
+
 func refuse(reason gate.Refusal, after time.Duration) *hopReply {
 	return &hopReply{refused: &refusal{reason: reason, after: after}}
 }
@@ -202,7 +226,11 @@
 		status = reply.answer.Status
 	}
 	h.telemetry.Metrics.HostRequests.Inc(resultOf(code))
-	h.log.Info("host",
+	level := zap.InfoLevel
+	if result == "lost" || status >= http.StatusInternalServerError {
+		level = zap.WarnLevel
+	}
+	h.log.Log(level, "host",
 		zap.String("request", r.id),
 		zap.String("result", result),
 		zap.Int("status", status),
@@ -211,6 +239,8 @@
 		zap.Ints("waiting", reply.report.Waiting[:]),
 		zap.Float64("doubt", reply.report.Doubt),
 		zap.Bool("idempotent", r.idempotent),
+		zap.Bool("repeat", r.repeat),
+		zap.Int("repeats_left", reply.report.Repeats),
 		zap.Uint64("entry_config", r.version),
 		zap.Duration("took", now.Sub(r.arrived)))
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -112,6 +113,7 @@
 	}
 	n.beacons.self, n.beacons.board, n.beacons.gate, n.beacons.picker = self, n.board, n.gate, n.picker
 	n.beacons.log, n.beacons.onVersion = n.log, n.heard
+	n.beacons.onLoad = func() { n.entry.host.judge("", gate.None) }
 	return n
 }
 
@@ -126,6 +128,7 @@
 		n.beacons.changed()
 		n.parts.Telemetry.Metrics.ConfigVersion.Set(int64(after.Config.Version))
 	}
+	n.logChanges(before, after)
 	n.shareRepeats(after)
 	if before.Server == after.Server {
 		return
@@ -147,6 +150,34 @@
 	}
 }
 
+// maxListed bounds the nodes that one log line names.
+const maxListed = 10
+
+// logChanges writes what the node now believes of itself and of other nodes.
+func (n *Node) logChanges(before, after *View) {
+	if before.Ready() != after.Ready() {
+		n.log.Info("ready", zap.Bool("ready", after.Ready()), zap.Uint64("config", after.version()),
+			zap.Bool("members_known", after.MembersKnown), zap.Bool("leaving", after.Leaving))
+	}
+	joined, left := missing(after.Members, before.Members), missing(before.Members, after.Members)
+	if len(joined)+len(left) > 0 {
+		n.log.Info("members changed", zap.Strings("joined", joined[:min(len(joined), maxListed)]),
+			zap.Strings("left", left[:min(len(left), maxListed)]), zap.Int("members", len(after.Members)))
+	}
+}
+
+// missing returns the IDs of the members that are not among others, sorted.
+func missing(members, others map[string]Member) []string {
+	var ids []string
+	for id := range members {
+		if _, ok := others[id]; !ok {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // budgetMargin is the part of the retry budget that is used. The requests of a
 // window leave it before the repeats that they allowed.
 const budgetMargin = 0.85
@@ -305,6 +336,7 @@
 			return
 		case now := <-ticker.C:
 			n.servers.Prune(now)
+			n.parts.Telemetry.ReportLeftOut()
 			members := n.board.View().Members
 			n.picker.Keep(func(id string) bool { _, ok := members[id]; return ok })
 		}
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -14,7 +14,7 @@
 	formatConsole = "console"
 )
 
-func newLogger(node settings.Node, process Process) (*zap.Logger, zap.AtomicLevel, error) {
+func newLogger(node settings.Node, process Process, left *leftOut) (*zap.Logger, zap.AtomicLevel, error) {
 	level, err := zap.ParseAtomicLevel(node.Telemetry.LogLevel)
 	if err != nil {
 		return nil, level, trace.BadParameter("log level %q is not known: use debug, info, warn or error", node.Telemetry.LogLevel)
@@ -23,7 +23,10 @@
 	if err != nil {
 		return nil, level, trace.Wrap(err)
 	}
-	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(process.Log)), level)
+	var core zapcore.Core = zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(process.Log)), level)
+	if process.LinesPerSecond > 0 {
+		core = left.bound(core, process.LinesPerSecond)
+	}
 	return zap.New(core).With(nodeFields(node, process)...), level, nil
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -40,6 +40,7 @@
 
 	meters   *metric.MeterProvider
 	registry *prometheus.Registry
+	leftOut  *leftOut
 }
 
 // New returns the telemetry of the node that node describes. An unreachable
@@ -55,15 +56,18 @@
 	Name, Version string
 	// Log takes the lines of the log.
 	Log io.Writer
+	// LinesPerSecond bounds the lines of each message and level; 0 for no bound.
+	LinesPerSecond int
 }
 
 // NewFor is New for another program or another destination of the log.
 func NewFor(ctx context.Context, process Process, node settings.Node) (*Telemetry, error) {
-	log, level, err := newLogger(node, process)
+	left := &leftOut{counts: map[string]int{}}
+	log, level, err := newLogger(node, process, left)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	t := &Telemetry{Log: log, Level: level, registry: prometheus.NewRegistry()}
+	t := &Telemetry{Log: log, Level: level, registry: prometheus.NewRegistry(), leftOut: left}
 	// The collectors read the runtime only when the page is pulled.
 	t.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	res := nodeResource(node, process)
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -99,7 +99,7 @@
 	g := NewWithT(t)
 	tele := newForTest(t, testNode())
 	var out bytes.Buffer
-	log, _, err := newLogger(testNode(), Process{Name: ServiceName, Version: "test", Log: &out})
+	log, _, err := newLogger(testNode(), Process{Name: ServiceName, Version: "test", Log: &out}, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	tele.Log = log
 	tele.Metrics.Retries.Add(7)
@@ -116,11 +116,11 @@
 	g := NewWithT(t)
 	node := testNode()
 	node.Telemetry.LogLevel = "loud"
-	_, _, err := newLogger(node, Process{Name: ServiceName, Version: "test", Log: io.Discard})
+	_, _, err := newLogger(node, Process{Name: ServiceName, Version: "test", Log: io.Discard}, nil)
 	g.Expect(err).To(MatchError(ContainSubstring(`log level "loud"`)))
 	node = testNode()
 	node.Telemetry.LogFormat = "xml"
-	_, _, err = newLogger(node, Process{Name: ServiceName, Version: "test", Log: io.Discard})
+	_, _, err = newLogger(node, Process{Name: ServiceName, Version: "test", Log: io.Discard}, nil)
 	g.Expect(err).To(MatchError(ContainSubstring(`log format "xml"`)))
 }
 
