Take the hops that must end before a stopping node does

Change: a stopping node takes a hop whose deadline lies before its stop limit, so the stop can cut none off; reports tell the time left. At its end it refuses hops, tells the others, and waits 200 ms for those on the way. Ruled out: taking work by its usual duration (one in a hundred takes five times as long).

--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -19,7 +19,7 @@
 		Node: Key(rapid.Uint32().Draw(t, "node")), Stamp: rapid.Uint32().Draw(t, "stamp"),
 		Load: gate.Load{
 			Running: number("running"), Slots: number("slots"), Doubt: float64(rapid.IntRange(0, doubtScale).Draw(t, "doubt")) / doubtScale,
-			Service: ms("service"), Trial: ms("trial"), Repeats: number("repeats"),
+			Service: ms("service"), Trial: ms("trial"), Repeats: number("repeats"), Ends: ms("ends"),
 			Open: rapid.Bool().Draw(t, "open"), Cold: rapid.Bool().Draw(t, "cold"),
 		},
 	}}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -128,6 +128,9 @@
 	Trial time.Duration
 	// Repeats is the number of repeats that the retry budget leaves.
 	Repeats int
+	// Ends is the time until the node beside the server stops; 0 if it does not.
+	// Until then it takes the work that must have ended by then.
+	Ends time.Duration
 }
 
 // trialRunning is the Load.Trial of a server whose trial has not ended.
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -61,6 +61,8 @@
 	Patience time.Duration
 	// Repeat tells that an earlier attempt reached a server.
 	Repeat bool
+	// Left is the time until the deadline of the request.
+	Left time.Duration
 	// AnswerBytes is the expected size of the answer.
 	AnswerBytes int
 	// Exclude reports candidates that the request has tried already.
@@ -184,7 +186,7 @@
 	if s.reported.IsZero() || age > freshReport {
 		return true
 	}
-	if !s.load.Open || q.Repeat && s.load.Repeats < 1 {
+	if !s.load.Open || q.Repeat && s.load.Repeats < 1 || s.load.Ends > 0 && q.Left > s.load.Ends-age {
 		return false
 	}
 	if !s.load.Healthy() && (!q.Idempotent || q.Last || age < s.load.Trial || len(s.sent) > 0 || far && q.Patience == 0) {
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -89,6 +89,7 @@
 		Objective:   x.objective.Sub(x.started),
 		Patience:    x.patience(now),
 		Repeat:      x.arrivals > 0,
+		Left:        x.deadline.Sub(now),
 		AnswerBytes: e.sizes.of(x.route.ID),
 		Exclude:     func(id string) bool { _, tried := x.tried[id]; return tried },
 	}
--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -171,8 +171,7 @@
 // report returns a datagram with the load of the own server.
 func (b *beacons) report(now time.Time, view *View) beacon.Datagram {
 	key := beacon.KeyOf(b.self.ID)
-	load := b.gate.Load(now)
-	load.Open = load.Open && !view.Leaving
+	load := view.load(now, b.gate.Load(now))
 	own := beacon.Aged{Report: beacon.Report{Node: key, Stamp: beacon.StampOf(now), Load: load}}
 	b.table.Take(now, own)
 	return beacon.Datagram{Sender: key, Version: view.version(), Reports: []beacon.Aged{own}}
--- a/internal/sidecar/board.go
+++ b/internal/sidecar/board.go
@@ -9,6 +9,7 @@
 
 	"github.com/tarragonford/tarragonford/internal/beacon"
 	"github.com/tarragonford/tarragonford/internal/fleet"
+	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/pick"
 	"github.com/tarragonford/tarragonford/internal/registration"
 )
@@ -57,6 +58,21 @@
 // Ready reports whether callers may use the node.
 func (v *View) Ready() bool { return v.Config != nil && v.MembersKnown && !v.Leaving }
 
+// takes reports whether the node takes a hop that must end within left. While it
+// stops, it takes the work that ends before it does.
+func (v *View) takes(now time.Time, left time.Duration) bool {
+	return !v.Leaving || !now.Add(left).After(v.StopAt)
+}
+
+// load completes the load of the own server by the stop of the node.
+func (v *View) load(now time.Time, load gate.Load) gate.Load {
+	if v.Leaving {
+		load.Ends = max(v.StopAt.Sub(now), 0)
+		load.Open = load.Open && load.Ends > 0
+	}
+	return load
+}
+
 // state is owned by the control goroutine.
 type state struct {
 	config       *fleet.Config
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -105,7 +105,7 @@
 	for _, waiting := range r.Waiting {
 		numbers = append(numbers, int64(waiting))
 	}
-	numbers = append(numbers, int64(r.Repeats))
+	numbers = append(numbers, int64(r.Repeats), r.Ends.Milliseconds())
 	var text []byte
 	for i, n := range numbers {
 		if i > 0 {
@@ -116,7 +116,7 @@
 	return string(text)
 }
 
-const reportFields = 9 + gate.Levels
+const reportFields = 10 + gate.Levels
 
 func decodeReport(text string) (report, bool) {
 	fields := strings.Split(text, ";")
@@ -146,7 +146,8 @@
 	for i := range r.Waiting {
 		r.Waiting[i] = int(n[8+i])
 	}
-	r.Repeats = int(n[reportFields-1])
+	r.Repeats = int(n[reportFields-2])
+	r.Ends = time.Duration(n[reportFields-1]) * time.Millisecond
 	return r, true
 }
 
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -75,18 +75,16 @@
 	defer cancel()
 	reply := h.admit(ctx, r)
 	now := time.Now()
-	reply.report = report{Load: h.gate.Load(now)}
+	view := h.board.View()
+	reply.report = report{Load: view.load(now, h.gate.Load(now)), version: view.version()}
 	reply.hasReport = true
-	if config := h.board.View().Config; config != nil {
-		reply.report.version = config.Version
-	}
 	h.record(r, reply, now)
 	return reply
 }
 
 func (h *host) admit(ctx context.Context, r *hopRequest) *hopReply {
 	view := h.board.View()
-	if view.Leaving || view.Server.ID == "" || view.Server.Leaving {
+	if !view.takes(time.Now(), time.Until(r.arrived.Add(r.left))) || view.Server.ID == "" || view.Server.Leaving {
 		return refuse(gate.Closed, 0)
 	}
 	work := gate.Work{
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -227,6 +227,9 @@
 	n.board.posts <- func(s *state) { s.registry.Forget(incarnation) }
 }
 
+// ConfigVersion returns the version of the configuration in force, 0 for none.
+func (n *Node) ConfigVersion() uint64 { return n.board.View().version() }
+
 // Close ends Run at once, as a crash would.
 func (n *Node) Close() { n.end() }
 
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -18,10 +18,13 @@
 	// objective of a caller's request may take after noticeTime.
 	lateRunShare = 0.4
 	drainPoll    = 20 * time.Millisecond
+	// lastHopTime is how long a node that has taken its last hop waits for those
+	// on the way, some times that of a beacon and a hop.
+	lastHopTime = 200 * time.Millisecond
 )
 
-// drain takes no hops, and waits for the requests in flight and for callers to
-// leave, until the stop limit.
+// drain waits for the requests in flight and for callers to leave, until the stop
+// limit. Meanwhile it takes the hops that must end before that.
 func (n *Node) drain(ctx context.Context) {
 	n.log.Info("stopping", zap.Int64("in_flight", n.callers.Load()+n.hops.Load()))
 	started := time.Now()
@@ -37,10 +40,24 @@
 		go n.syncer.removeSelf(removal)
 	}
 	for time.Now().Before(end) {
-		if n.callers.Load() == 0 && n.hops.Load() == 0 && time.Since(started) > noticeTime {
+		if n.callers.Load() == 0 && time.Since(started) > noticeTime {
 			break
 		}
 		sleep(ctx, drainPoll)
 	}
+	n.endHops(ctx, end)
 	n.log.Info("stopped", zap.Int64("cut_off", n.callers.Load()+n.hops.Load()), zap.Duration("took", time.Since(started)))
 }
+
+// endHops takes no further hops, tells the other nodes, and waits for those in
+// flight until the end.
+func (n *Node) endHops(ctx context.Context, end time.Time) {
+	now := time.Now()
+	if err := n.board.Do(ctx, func(s *state) { s.stopAt = now }); err != nil {
+		n.log.Warn("the control goroutine did not take the end of the stop", zap.Error(err))
+	}
+	n.beacons.changed()
+	for time.Now().Before(end) && (n.hops.Load() > 0 || time.Since(now) < lastHopTime) {
+		sleep(ctx, drainPoll)
+	}
+}
