Soak the sidecar as separate processes

Change: package platform/soak (tests only): six sidecar processes, servers and a store of the stand-ins, relays before the store and before each node, clients on kept connections. Faults drawn from a seed overlap: kills, freezes, stops, cuts one way or both, resets, delays, a store that refuses, loses, is silent or drops its history, nine faults of servers, leaves, configurations, SIGHUP. Checked: whole answers of the own request, one run of a non-idempotent request, true refusals, nothing for leavers, configurations that never go back, no request cut by a stop, service after the faults. Found while built, all in the harness or the stand-ins: two faults that restarted one process twice; a silent store that held POSTs after their callers were gone.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,14 @@
-# Targets: build, platform, test, lint, fuzz, demo, soak, bench, convergence. README.md explains each.
+# Targets: build, platform, test, lint, fuzz, demo, soak, sidecar-soak, bench, convergence. README.md explains each.
 BINARIES := tarragond tarragonctl tarragon-load tarragon-standin
 SEED ?= 1
 DURATION ?= 60s
 FUZZTIME ?= 20s
 DEPLOYMENT ?= trust
 NODES ?= 21
+SEEDS ?= 1-10
+LENGTH ?= 12s
 
-.PHONY: all platform build test lint demo soak soak-short bench convergence fuzz bin/harness
+.PHONY: all platform build test lint demo soak soak-short sidecar-soak bench convergence fuzz bin/harness
 
 all: build
 
@@ -51,6 +53,11 @@
 soak-short: bin/harness
 	scripts/soak-short.sh
 
+# The sidecar as separate processes under randomised faults, a run for each seed.
+# One run at a time on a machine, because its ports are fixed.
+sidecar-soak:
+	go test ./platform/soak -count 1 -timeout 0 -v -seeds $(SEEDS) -length $(LENGTH)
+
 # Time from approval to in force everywhere, and the cost of control of a node.
 convergence: bin/harness
 	bin/harness convergence --nodes $(NODES)
