Try servers without a result from their own data centre only

With many servers some are always without a result, and entries of other data centres tried them too. Change: the gain of a trial counts in the own data centre only. TestAServerWithoutResultsIsTriedFromItsDataCentre fails without the change.

--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -17,7 +17,7 @@
 //
 // A server that has failed is chosen no more while others have room, so nothing
 // would show that it is sound again. A server without a result for a while is
-// therefore cheaper for a request that can run again elsewhere.
+// therefore cheaper for a request of its data centre that can run again elsewhere.
 //
 // A candidate that refused is left out until the time that it named; one that
 // cannot be reached is left out for a pause that doubles up to MaxPause.
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -24,7 +24,7 @@
 	// quietTime is the time without a result after which a server is worth a
 	// repeatable request only to learn how it does, less than the 2 s within which
 	// the users' platform asks for work to each sound server. trialGain is what
-	// that is worth.
+	// that is worth, in the own data centre: each has entries.
 	quietTime = 1500 * time.Millisecond
 	trialGain = 0.25
 	// freshReport is the age up to which a report is taken as the node's answer,
@@ -126,6 +126,9 @@
 			continue
 		}
 		cost := s.cost(now, q) + p.way(c, q) + tieBreak*random()
+		if c.DataCentre == p.dataCentre && s.isUntried(now, q) {
+			cost -= trialGain
+		}
 		if cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -223,9 +226,6 @@
 	if load.Cold {
 		cost += coldCost
 	}
-	if s.isUntried(now, q) {
-		cost -= trialGain
-	}
 	return cost
 }
 
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -96,3 +96,21 @@
 	p.Report(start, "near", sound(0))
 	g.Expect(p.Soonest(start, nodes[:1])).To(BeZero())
 }
+
+// A server that failed some time ago is tried by requests that can run again, from
+// its own data centre only: with many servers some are always without a result, and
+// bytes between data centres are dear.
+func TestAServerWithoutResultsIsTriedFromItsDataCentre(t *testing.T) {
+	g := NewWithT(t)
+	quiet, used := sound(0), sound(2)
+	quiet.Doubt, quiet.Quiet = 0.3, 2*quietTime
+	p := New("a", "r")
+	p.Report(start, "near", quiet)
+	p.Report(start, "far", used)
+	g.Expect(chosen(p, Query{})).To(Equal("far"), "a booking")
+	g.Expect(chosen(p, Query{Idempotent: true})).To(Equal("near"), "a lookup")
+	p = New("b", "r")
+	p.Report(start, "near", quiet)
+	p.Report(start, "far", used)
+	g.Expect(chosen(p, Query{Idempotent: true})).To(Equal("far"), "from another data centre")
+}
