--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -24,7 +24,8 @@
 	// headerFailed says that the request was sent to the server and no whole
 	// answer came.
 	headerFailed = "T-Failed"
-	// headerState asks for the state of the node instead of a hop.
+	// headerState asks for the state of the node instead of a hop, and says for
+	// how much of it.
 	headerState = "T-State"
 )
 
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -15,7 +15,7 @@
 type peerState struct {
 	// Document is the encoded configuration.
 	Document []byte            `json:"document"`
-	Members  map[string]Member `json:"members"`
+	Members  map[string]Member `json:"members,omitempty"`
 }
 
 // inbound serves the requests of other nodes.
@@ -32,8 +32,8 @@
 
 // ServeHTTP implements http.Handler.
 func (i *inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Header.Get(headerState) != "" {
-		i.serveState(w)
+	if want := r.Header.Get(headerState); want != "" {
+		i.serveState(w, want)
 		return
 	}
 	t, err := decodeTerms(r.Header.Get(headerHop))
@@ -60,9 +60,19 @@
 	writeReply(w, request.id, i.headers, i.host.serve(r.Context(), request))
 }
 
-func (i *inbound) serveState(w http.ResponseWriter) {
+// What another node asks for.
+const (
+	stateAll           = "all"
+	stateConfiguration = "configuration"
+)
+
+func (i *inbound) serveState(w http.ResponseWriter, want string) {
 	view := i.host.board.View()
-	body, err := json.Marshal(peerState{Document: view.Document, Members: view.Members})
+	state := peerState{Document: view.Document}
+	if want == stateAll {
+		state.Members = view.Members
+	}
+	body, err := json.Marshal(state)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -311,8 +311,12 @@
 func (s *syncer) askPeer(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerStateTimeout)
 	defer cancel()
+	want := stateConfiguration
+	if !s.board.View().MembersKnown {
+		want = stateAll
+	}
 	answer, err := s.peers.do(ctx, addr, &httpconn.Request{
-		Method: http.MethodGet, Target: "/", Host: addr, Header: http.Header{headerState: {"1"}},
+		Method: http.MethodGet, Target: "/", Host: addr, Header: http.Header{headerState: {want}},
 	})
 	if err != nil {
 		return trace.Wrap(err)
