Answer what a stopping node has read, and let a second SIGTERM move the limit

Cause: at the end of a stop the node closed its servers at once.

Ruled out: waiting longer for callers before closing, since callers that do not notice the stop never leave.

--- a/cmd/tarragon-sidecar/main.go
+++ b/cmd/tarragon-sidecar/main.go
@@ -82,17 +82,21 @@
 	return node.Run(stopSignal(t.Log, config, o.Config))
 }
 
-// stopSignal returns a channel that is closed at the first SIGTERM or SIGINT.
-// SIGHUP announces changed settings.
+// stopSignal returns a channel that yields a value at each SIGTERM or SIGINT. SIGHUP
+// announces changed settings.
 func stopSignal(log *zap.Logger, config sidecar.Settings, path string) <-chan struct{} {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	stop := make(chan struct{})
+	stop := make(chan struct{}, 1)
 	go func() {
 		for received := range signals {
 			if received != syscall.SIGHUP {
-				close(stop)
-				return
+				select {
+				case stop <- struct{}{}:
+				default:
+					// The stop has not taken the last signal yet.
+				}
+				continue
 			}
 			reportReload(log, config, path)
 		}
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,43 +23,92 @@
 	// lastHopTime is how long a node that has taken its last hop waits for those
 	// on the way, some times that of a beacon and a hop.
 	lastHopTime = 200 * time.Millisecond
+	// closeTime bounds the wait for requests that arrived while the listeners were
+	// closed. They are refused at once.
+	closeTime = 200 * time.Millisecond
 )
 
+// stopping is a planned stop of the process.
+type stopping struct {
+	node *Node
+	// asked yields further requests to stop, each of which moves the end.
+	asked   <-chan struct{}
+	started time.Time
+	// end is when requests that still run are cut off.
+	end time.Time
+}
+
 // drain waits for the requests in flight and for callers to leave, until the stop
 // limit. Meanwhile it takes the hops that must end before that.
-func (n *Node) drain(ctx context.Context) {
+func (n *Node) drain(ctx context.Context, asked <-chan struct{}) *stopping {
 	n.log.Info("stopping", zap.Int64("in_flight", n.callers.Load()+n.hops.Load()))
-	started := time.Now()
-	end := started.Add(n.settings.StopLimit - stopMargin)
-	if err := n.board.Do(ctx, func(s *state) { s.leaving, s.stopSince, s.stopAt = true, started, end }); err != nil {
+	s := &stopping{node: n, asked: asked, started: time.Now()}
+	s.end = s.started.Add(n.settings.StopLimit - stopMargin)
+	if err := n.board.Do(ctx, func(st *state) { st.leaving, st.stopSince, st.stopAt = true, s.started, s.end }); err != nil {
 		n.log.Warn("the control goroutine did not take the stop", zap.Error(err))
 	}
 	if n.board.View().Server.Leaving {
 		// The server beside this node is gone and so is the node, unless
 		// another server starts here and the node with it.
-		removal, cancel := context.WithDeadline(ctx, end)
+		removal, cancel := context.WithDeadline(ctx, s.end)
 		defer cancel()
 		go n.syncer.removeSelf(removal)
 	}
-	for time.Now().Before(end) {
-		if n.callers.Load() == 0 && time.Since(started) > noticeTime {
+	for time.Now().Before(s.end) {
+		if n.callers.Load() == 0 && time.Since(s.started) > noticeTime {
 			break
 		}
-		sleep(ctx, drainPoll)
+		s.pause(ctx)
+	}
+	s.endHops(ctx)
+	return s
+}
+
+// pause waits a little. A further request to stop gives the process the whole time
+// again, which its requests may need.
+func (s *stopping) pause(ctx context.Context) {
+	select {
+	case <-s.asked:
+		s.end = time.Now().Add(s.node.settings.StopLimit - stopMargin)
+		s.node.log.Info("asked to stop again", zap.Duration("left", time.Until(s.end)))
+		if err := s.node.board.Do(ctx, func(st *state) { st.stopAt = s.end }); err != nil {
+			s.node.log.Warn("the control goroutine did not take the new end of the stop", zap.Error(err))
+		}
+	case <-time.After(drainPoll):
+	case <-ctx.Done():
 	}
-	n.endHops(ctx, end)
-	n.log.Info("stopped", zap.Int64("cut_off", n.callers.Load()+n.hops.Load()), zap.Duration("took", time.Since(started)))
 }
 
 // endHops takes no further hops, tells the other nodes, and waits for those in
 // flight until the end.
-func (n *Node) endHops(ctx context.Context, end time.Time) {
+func (s *stopping) endHops(ctx context.Context) {
+	n := s.node
 	now := time.Now()
-	if err := n.board.Do(ctx, func(s *state) { s.stopAt = now }); err != nil {
+	if err := n.board.Do(ctx, func(st *state) { st.stopAt = now }); err != nil {
 		n.log.Warn("the control goroutine did not take the end of the stop", zap.Error(err))
 	}
 	n.beacons.changed()
-	for time.Now().Before(end) && (n.hops.Load() > 0 || time.Since(now) < lastHopTime) {
+	for time.Now().Before(s.end) && (n.hops.Load() > 0 || time.Since(now) < lastHopTime) {
 		sleep(ctx, drainPoll)
 	}
 }
+
+// close closes the listeners, answers what has been read by then, and closes the
+// connections.
+func (s *stopping) close(ctx context.Context, servers []*http.Server) {
+	end := time.Now().Add(closeTime)
+	if s.end.Add(stopMargin / 2).Before(end) {
+		end = s.end.Add(stopMargin / 2)
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, server := range servers {
+		group.Go(func() {
+			// What is still in flight at the end is cut off by Close.
+			_ = server.Shutdown(ctx)
+		})
+	}
+	group.Wait()
+	s.node.log.Info("stopped", zap.Int64("cut_off", s.node.callers.Load()+s.node.hops.Load()), zap.Duration("took", time.Since(s.started)))
+}
