Keep the limit of the first SIGTERM, and begin no run that it would cut off

The requests that were cut off came 0.7 s after the first SIGTERM, waited 2.5 s for a free server, and began a run of 1.3 s on average with 2.5 s to go. A stopping node now refuses a request (not run, with Retry-After) whose run would take twice the mean service time of the chosen server beyond its limit.

--- a/cmd/tarragon-sidecar/main.go
+++ b/cmd/tarragon-sidecar/main.go
@@ -82,8 +82,8 @@
 	return node.Run(stopSignal(t.Log, config, o.Config))
 }
 
-// stopSignal returns a channel that yields a value at each SIGTERM or SIGINT. SIGHUP
-// announces changed settings.
+// stopSignal returns a channel that yields a value at the first SIGTERM or SIGINT.
+// SIGHUP announces changed settings.
 func stopSignal(log *zap.Logger, config sidecar.Settings, path string) <-chan struct{} {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
@@ -94,7 +94,7 @@
 				select {
 				case stop <- struct{}{}:
 				default:
-					// The stop has not taken the last signal yet.
+					log.Info("asked to stop again")
 				}
 				continue
 			}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -111,6 +111,8 @@
 	// failures and for the time until a slot is free.
 	Doubt float64
 	Wait  time.Duration
+	// Service is the mean service time that the node reported last; 0 before.
+	Service time.Duration
 }
 
 // Choose returns the candidate of the lowest cost, or false if none can take the
@@ -144,7 +146,7 @@
 }
 
 func (s *state) choice(now time.Time, q Query) Choice {
-	c := Choice{Doubt: usualDoubt, Wait: s.load.Wait(q.Priority, len(s.sent))}
+	c := Choice{Doubt: usualDoubt, Service: s.load.Service, Wait: s.load.Wait(q.Priority, len(s.sent))}
 	if !s.reported.IsZero() {
 		c.Known, c.Age = true, now.Sub(s.reported)
 		c.Doubt = s.doubt(now)
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -58,6 +58,9 @@
 			}
 			continue
 		}
+		if x.attempts == 0 && !x.runFitsStop(choice.Service) {
+			break
+		}
 		hops++
 		x.hops = append(x.hops, hopRecord{node: member.ID, sent: time.Since(x.started), choice: choice})
 		reply, err := x.send(ctx, member)
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -168,6 +168,13 @@
 	return codes.Leaving.New("the node stops in %v", left)
 }
 
+// runFitsStop reports whether a run at a server with a mean service time is likely to
+// end before the node does. A caller that is told that its request did not run can
+// send it to another node; one whose connection ends cannot.
+func (x *exchange) runFitsStop(service time.Duration) bool {
+	return x.view.StopAt.IsZero() || runFactor*service < time.Until(x.view.StopAt)
+}
+
 func (x *exchange) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	limit := x.view.Config.Limits.BodyBytes
 	if limit <= 0 {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -233,8 +233,8 @@
 // Close ends Run at once, as a crash would.
 func (n *Node) Close() { n.end() }
 
-// Run serves until stop yields a value, then stops gracefully. Each further value
-// moves the stop limit.
+// Run serves until stop yields a value, then stops gracefully. Further values change
+// nothing.
 func (n *Node) Run(stop <-chan struct{}) error {
 	defer n.end()
 	servers, listeners, err := n.listen()
@@ -263,7 +263,7 @@
 	group.Go(func() error {
 		select {
 		case <-stop:
-			n.drain(ctx, stop).close(ctx, servers)
+			n.drain(ctx).close(ctx, servers)
 		case <-ctx.Done():
 		}
 		for _, server := range servers {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -19,7 +19,10 @@
 	// lateRunShare is the part of the time until the stop limit that the
 	// objective of a caller's request may take after noticeTime.
 	lateRunShare = 0.4
-	drainPoll    = 20 * time.Millisecond
+	// runFactor times the mean service time is how long a run may take of which a
+	// stopping node is sure enough.
+	runFactor = 2
+	drainPoll = 20 * time.Millisecond
 	// lastHopTime is how long a node that has taken its last hop waits for those
 	// on the way, some times that of a beacon and a hop.
 	lastHopTime = 200 * time.Millisecond
@@ -28,11 +31,10 @@
 	closeTime = 200 * time.Millisecond
 )
 
-// stopping is a planned stop of the process.
+// stopping is a planned stop of the process. Its limit counts from the first request
+// to stop: the platform kills the process then, whatever it asks meanwhile.
 type stopping struct {
-	node *Node
-	// asked yields further requests to stop, each of which moves the end.
-	asked   <-chan struct{}
+	node    *Node
 	started time.Time
 	// end is when requests that still run are cut off.
 	end time.Time
@@ -40,9 +42,9 @@
 
 // drain waits for the requests in flight and for callers to leave, until the stop
 // limit. Meanwhile it takes the hops that must end before that.
-func (n *Node) drain(ctx context.Context, asked <-chan struct{}) *stopping {
+func (n *Node) drain(ctx context.Context) *stopping {
 	n.log.Info("stopping", zap.Int64("in_flight", n.callers.Load()+n.hops.Load()))
-	s := &stopping{node: n, asked: asked, started: time.Now()}
+	s := &stopping{node: n, started: time.Now()}
 	s.end = s.started.Add(n.settings.StopLimit - stopMargin)
 	if err := n.board.Do(ctx, func(st *state) { st.leaving, st.stopSince, st.stopAt = true, s.started, s.end }); err != nil {
 		n.log.Warn("the control goroutine did not take the stop", zap.Error(err))
@@ -58,27 +60,12 @@
 		if n.callers.Load() == 0 && time.Since(s.started) > noticeTime {
 			break
 		}
-		s.pause(ctx)
+		sleep(ctx, drainPoll)
 	}
 	s.endHops(ctx)
 	return s
 }
 
-// pause waits a little. A further request to stop gives the process the whole time
-// again, which its requests may need.
-func (s *stopping) pause(ctx context.Context) {
-	select {
-	case <-s.asked:
-		s.end = time.Now().Add(s.node.settings.StopLimit - stopMargin)
-		s.node.log.Info("asked to stop again", zap.Duration("left", time.Until(s.end)))
-		if err := s.node.board.Do(ctx, func(st *state) { st.stopAt = s.end }); err != nil {
-			s.node.log.Warn("the control goroutine did not take the new end of the stop", zap.Error(err))
-		}
-	case <-time.After(drainPoll):
-	case <-ctx.Done():
-	}
-}
-
 // endHops takes no further hops, tells the other nodes, and waits for those in
 // flight until the end.
 func (s *stopping) endHops(ctx context.Context) {
