Let a few nodes of each data centre follow the store, and the others learn from them

Change: - eight nodes of a data centre, by the order of their names in beacons and by what the beacons say of them, watch the tables. The others read every 30 s, and when too few others follow. Data centres of up to nine nodes work as before. - beacons tell the newest change of the table of members; a node asks one of its own data centre for what it lacks.

A property test found that an older list of members could bring a removed node back; mended in members.go (a row that is missing below the known version stays removed).

--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -16,7 +16,7 @@
 	number := func(name string) int { return rapid.IntRange(0, 1e6).Draw(t, name) }
 	ms := func(name string) time.Duration { return time.Duration(number(name)) * time.Millisecond }
 	r := Aged{Age: ms("age"), Report: Report{
-		Node: Key(rapid.Uint32().Draw(t, "node")), Stamp: rapid.Uint32().Draw(t, "stamp"),
+		Node: Key(rapid.Uint32().Draw(t, "node")), Follows: rapid.Bool().Draw(t, "follows"), Stamp: rapid.Uint32().Draw(t, "stamp"),
 		Load: gate.Load{
 			Running: number("running"), Slots: number("slots"), Doubt: float64(rapid.IntRange(0, doubtScale).Draw(t, "doubt")) / doubtScale,
 			Service: ms("service"), Trial: ms("trial"), Repeats: number("repeats"), Ends: ms("ends"), Quiet: ms("quiet"),
@@ -32,7 +32,7 @@
 func TestDatagramsArriveAsSent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sent := Datagram{
-			Sender: Key(rapid.Uint32().Draw(t, "sender")), Version: rapid.Uint64().Draw(t, "version"), PassOn: rapid.Bool().Draw(t, "pass on"),
+			Sender: Key(rapid.Uint32().Draw(t, "sender")), Version: rapid.Uint64().Draw(t, "version"), Members: rapid.Uint64().Draw(t, "members"), PassOn: rapid.Bool().Draw(t, "pass on"),
 			Reports: rapid.SliceOfN(rapid.Custom(anyReport), 0, 120).Draw(t, "reports"),
 		}
 		var got []Aged
@@ -41,7 +41,7 @@
 				t.Fatalf("a part has %d bytes", len(part))
 			}
 			d, ok := Decode(part)
-			if !ok || d.Sender != sent.Sender || d.Version != sent.Version || d.PassOn != sent.PassOn {
+			if !ok || d.Sender != sent.Sender || d.Version != sent.Version || d.Members != sent.Members || d.PassOn != sent.PassOn {
 				t.Fatalf("sent %+v, got %+v", sent, d)
 			}
 			got = append(got, d.Reports...)
--- a/internal/beacon/datagram.go
+++ b/internal/beacon/datagram.go
@@ -20,12 +20,13 @@
 )
 
 // mark begins each datagram, so that others are told apart.
-var mark = [2]byte{'T', '2'}
+var mark = [2]byte{'T', '3'}
 
 // Bits of a report.
 const (
 	bitOpen = 1 << iota
 	bitCold
+	bitFollows
 )
 
 // Key names a node in datagrams.
@@ -44,6 +45,8 @@
 	// Stamp is the time of the report on the node's clock, in ms modulo 2^32.
 	Stamp uint32
 	Load  gate.Load
+	// Follows tells that the node follows the tables of the store.
+	Follows bool
 }
 
 // StampOf returns the stamp of a time.
@@ -55,10 +58,12 @@
 	Age time.Duration
 }
 
-// Datagram carries reports, and the configuration version in force at its sender.
+// Datagram carries reports, and the versions that its sender has.
 type Datagram struct {
-	Sender  Key
-	Version uint64
+	Sender Key
+	// Version is that of the configuration in force, and Members that of the newest
+	// change of the table of members; 0 for none.
+	Version, Members uint64
 	// PassOn asks the receiver to send it to the rest of its data centre.
 	PassOn  bool
 	Reports []Aged
@@ -86,7 +91,7 @@
 	}
 	b = append(b, passOn)
 	b = binary.BigEndian.AppendUint32(b, uint32(d.Sender))
-	return binary.AppendUvarint(b, d.Version)
+	return binary.AppendUvarint(binary.AppendUvarint(b, d.Version), d.Members)
 }
 
 func (r Aged) append(b []byte) []byte {
@@ -99,6 +104,9 @@
 	if r.Load.Cold {
 		bits |= bitCold
 	}
+	if r.Follows {
+		bits |= bitFollows
+	}
 	numbers := []uint64{
 		uint64(max(r.Age, 0).Milliseconds()), bits, uint64(r.Load.Running), uint64(r.Load.Slots),
 		uint64(r.Load.Doubt * doubtScale), uint64(r.Load.Service.Milliseconds()),
@@ -120,12 +128,15 @@
 		return Datagram{}, false
 	}
 	d := Datagram{PassOn: b[2] == 1, Sender: Key(binary.BigEndian.Uint32(b[3:]))}
-	version, n := binary.Uvarint(b[7:])
-	if n <= 0 {
-		return Datagram{}, false
+	rest := b[7:]
+	for _, version := range []*uint64{&d.Version, &d.Members} {
+		value, n := binary.Uvarint(rest)
+		if n <= 0 {
+			return Datagram{}, false
+		}
+		*version, rest = value, rest[n:]
 	}
-	d.Version = version
-	for rest := b[7+n:]; len(rest) > 0; {
+	for len(rest) > 0 {
 		var r Aged
 		var ok bool
 		if r, rest, ok = decodeReport(rest); !ok {
@@ -150,6 +161,7 @@
 		}
 		numbers[i], b = int(value), b[n:]
 	}
+	r.Follows = numbers[1]&bitFollows != 0
 	r.Age = time.Duration(numbers[0]) * time.Millisecond
 	r.Load = gate.Load{
 		Open: numbers[1]&bitOpen != 0, Cold: numbers[1]&bitCold != 0,
--- a/internal/beacon/table.go
+++ b/internal/beacon/table.go
@@ -53,3 +53,21 @@
 	}
 	return fresh
 }
+
+// Heard counts the nodes of which a report is younger than a time, and those among
+// them that follow the store.
+func (t *Table) Heard(now time.Time, nodes []Key, within time.Duration) (heard, following int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, node := range nodes {
+		e, known := t.newest[node]
+		if !known || now.Sub(e.made) > within {
+			continue
+		}
+		heard++
+		if e.report.Follows {
+			following++
+		}
+	}
+	return heard, following
+}
--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,14 +18,20 @@
 // Intervals of beacons. At the size to design for they keep a node within the
 // 13 kB/s of control; see docs/CAPACITY.md.
 const (
-	// localInterval is the shortest time between two beacons of a node to a data
-	// centre of up to localNodes; it grows with the data centre.
-	localInterval = 50 * time.Millisecond
-	localNodes    = 30
+	// minInterval is the shortest time between two beacons of a node, and localRate
+	// the number of datagrams a second, to all nodes of its data centre, that it
+	// sends about changes of its load. Changes of trust are told at once.
+	minInterval = 50 * time.Millisecond
+	localRate   = 200
 	// digestInterval is the mean time between two digests of a data centre of
 	// up to digestNodes to another one; it grows with the data centre.
 	digestInterval = 200 * time.Millisecond
 	digestNodes    = 30
+	// followers is the number of nodes of a data centre that follow the store, any of
+	// which may have lost its watch without a sign. A report that is older than
+	// followerMemory does not count for its node.
+	followers      = 8
+	followerMemory = 2500 * time.Millisecond
 	// refreshInterval is the longest time between two beacons of a node.
 	refreshInterval = time.Second
 	// urgentRelays is the number of nodes of another data centre that get a
@@ -39,12 +44,16 @@
 // beacons sends the load of the own server and takes that of others, as package
 // beacon describes.
 type beacons struct {
-	self      Member
-	board     *Board
-	gate      *gate.Gate
-	picker    *pick.Picker
-	log       *zap.Logger
-	onVersion func(version uint64, addr string)
+	self   Member
+	board  *Board
+	gate   *gate.Gate
+	picker *pick.Picker
+	log    *zap.Logger
+	// onVersions is called with the versions that another node has, of the
+	// configuration and of the table of members.
+	onVersions func(configuration, members uint64, addr string)
+	// follows tells whether the own node follows the store.
+	follows func() bool
 	// onLoad is called with each beacon of the own server.
 	onLoad func()
 
@@ -94,7 +103,7 @@
 	now := time.Now()
 	view := b.board.View()
 	if sender, ok := view.memberOf(received.Sender); ok {
-		b.onVersion(received.Version, sender.Addr)
+		b.onVersions(received.Version, received.Members, sender.Addr)
 	}
 	for _, r := range received.Reports {
 		member, known := view.memberOf(r.Node)
@@ -105,62 +114,75 @@
 	}
 	if received.PassOn {
 		received.PassOn = false
-		b.sendTo(view.near(b.self), received)
+		b.sendTo(view.near, received)
 	}
 }
 
 // memberOf returns the node of a key, unless several share it.
 func (v *View) memberOf(key beacon.Key) (Member, bool) {
-	id, ok := v.keys[key]
-	if !ok {
-		return Member{}, false
-	}
-	member, ok := v.Members[id]
+	member, ok := v.byKey[key]
 	return member, ok
 }
 
-// near returns the other nodes of a node's data centre.
-func (v *View) near(self Member) []Member {
-	var near []Member
-	for _, member := range v.Members {
-		if member.DataCentre == self.DataCentre && member.ID != self.ID {
-			near = append(near, member)
-		}
-	}
-	return near
-}
-
 // run sends a beacon after each change of the load, and digests in turn, within
 // the intervals.
 func (b *beacons) run(ctx context.Context) {
 	var before gate.Load
-	nextDigest := time.Now()
+	var versions [2]uint64
+	var nextLocal, nextDigest time.Time
+	changed := true
 	for ctx.Err() == nil {
 		now := time.Now()
 		view := b.board.View()
-		near := view.near(b.self)
 		message := b.report(now, view)
 		load := message.Reports[0].Load
-		b.sendTo(near, message)
-		b.onLoad()
-		if before.Open != load.Open || before.Healthy() != load.Healthy() {
+		trust := before.Open != load.Open || before.Healthy() != load.Healthy()
+		news := versions != [2]uint64{message.Version, message.Members}
+		if trust || news || changed && !now.Before(nextLocal) || now.Sub(nextLocal) >= refreshInterval {
+			b.sendTo(view.near, message)
+			b.onLoad()
+			before, changed = load, false
+			versions = [2]uint64{message.Version, message.Members}
+			nextLocal = now.Add(localPause(len(view.near)))
+		}
+		if trust {
 			message.PassOn = true
 			b.sendFar(view, message, urgentRelays)
 		}
-		before = load
 		if !now.Before(nextDigest) {
-			b.sendFar(view, b.digest(now, view, near), usualRelays)
-			nextDigest = now.Add(digestPause(1+len(near), rand.Float64()))
-		}
-		sleep(ctx, localInterval*time.Duration(max(len(near), localNodes))/localNodes)
-		select {
-		case <-b.dirty:
-		case <-time.After(min(refreshInterval, max(time.Until(nextDigest), 0))):
-		case <-ctx.Done():
+			b.sendFar(view, b.digest(now, view), usualRelays)
+			nextDigest = now.Add(digestPause(1+len(view.near), rand.Float64()))
 		}
+		changed = b.wait(ctx, nextLocal, nextDigest, changed)
 	}
 }
 
+// wait returns when a beacon or a digest may be due, and whether the load has
+// changed since the last beacon; changed tells that it had before.
+func (b *beacons) wait(ctx context.Context, nextLocal, nextDigest time.Time, changed bool) bool {
+	sleep(ctx, minInterval)
+	next := nextLocal
+	if !changed {
+		next = next.Add(refreshInterval)
+	}
+	if nextDigest.Before(next) {
+		next = nextDigest
+	}
+	select {
+	case <-b.dirty:
+		return true
+	case <-time.After(max(time.Until(next), 0)):
+	case <-ctx.Done():
+	}
+	return changed
+}
+
+// localPause returns the time between two beacons of a node without a change of
+// trust, with a number of other nodes in its data centre.
+func localPause(near int) time.Duration {
+	return max(time.Duration(near)*time.Second/localRate, minInterval)
+}
+
 // digestPause returns the time until a node of a data centre sends its next
 // digest. random is uniform from 0 to 1.
 func digestPause(nodes int, random float64) time.Duration {
@@ -172,18 +194,28 @@
 func (b *beacons) report(now time.Time, view *View) beacon.Datagram {
 	key := beacon.KeyOf(b.self.ID)
 	load := view.load(now, b.gate.Load(now))
-	own := beacon.Aged{Report: beacon.Report{Node: key, Stamp: beacon.StampOf(now), Load: load}}
+	own := beacon.Aged{Report: beacon.Report{Node: key, Stamp: beacon.StampOf(now), Load: load, Follows: b.follows()}}
 	b.table.Take(now, own)
-	return beacon.Datagram{Sender: key, Version: view.version(), Reports: []beacon.Aged{own}}
+	return beacon.Datagram{Sender: key, Version: view.version(), Members: view.MembersNewest, Reports: []beacon.Aged{own}}
 }
 
 // digest returns a datagram with the fresh reports of the own data centre.
-func (b *beacons) digest(now time.Time, view *View, near []Member) beacon.Datagram {
-	keys := []beacon.Key{beacon.KeyOf(b.self.ID)}
-	for _, member := range near {
-		keys = append(keys, beacon.KeyOf(member.ID))
+func (b *beacons) digest(now time.Time, view *View) beacon.Datagram {
+	return beacon.Datagram{
+		Sender: view.localKeys[0], Version: view.version(), Members: view.MembersNewest, PassOn: true, Reports: b.table.Fresh(now, view.localKeys),
 	}
-	return beacon.Datagram{Sender: keys[0], Version: view.version(), PassOn: true, Reports: b.table.Fresh(now, keys)}
+}
+
+// followsClosely implements turn.
+func (b *beacons) followsClosely() bool {
+	_, following := b.table.Heard(time.Now(), b.board.View().ahead, followerMemory)
+	return following < followers
+}
+
+// isFirst implements turn.
+func (b *beacons) isFirst() bool {
+	heard, _ := b.table.Heard(time.Now(), b.board.View().ahead, followerMemory)
+	return heard < followers
 }
 
 // version returns the version of the configuration in force, 0 for none.
@@ -196,30 +228,25 @@
 
 // sendFar sends a datagram to a few nodes of each other data centre.
 func (b *beacons) sendFar(view *View, message beacon.Datagram, relays int) {
-	far := map[string][]Member{}
-	for _, member := range view.Members {
-		if member.DataCentre != b.self.DataCentre {
-			far[member.DataCentre] = append(far[member.DataCentre], member)
+	parts := message.Encode()
+	for _, nodes := range view.far {
+		for _, i := range rand.Perm(len(nodes))[:min(relays, len(nodes))] {
+			b.send(nodes[i], parts)
 		}
 	}
-	for _, members := range far {
-		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-		b.sendTo(members[:min(relays, len(members))], message)
-	}
 }
 
-func (b *beacons) sendTo(members []Member, message beacon.Datagram) {
+func (b *beacons) sendTo(nodes []peer, message beacon.Datagram) {
 	parts := message.Encode()
-	for _, member := range members {
-		addr, err := netip.ParseAddrPort(member.Beacon)
-		if err != nil {
-			b.log.Error("address for beacons not understood", zap.String("node", member.ID), zap.Error(err))
-			continue
-		}
-		for _, data := range parts {
-			if _, err := b.conn.WriteToUDPAddrPort(data, addr); err != nil {
-				b.log.Debug("beacon not sent", zap.String("node", member.ID), zap.Error(err))
-			}
+	for _, node := range nodes {
+		b.send(node, parts)
+	}
+}
+
+func (b *beacons) send(node peer, parts [][]byte) {
+	for _, data := range parts {
+		if _, err := b.conn.WriteToUDPAddrPort(data, node.addr); err != nil {
+			b.log.Debug("beacon not sent", zap.String("node", node.id), zap.Error(err))
 		}
 	}
 }
--- a/internal/sidecar/board.go
+++ b/internal/sidecar/board.go
@@ -7,10 +7,8 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/tarragonford/tarragonford/internal/beacon"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/gate"
-	"github.com/tarragonford/tarragonford/internal/pick"
 	"github.com/tarragonford/tarragonford/internal/registration"
 )
 
@@ -28,19 +26,16 @@
 
 // View is an immutable picture of the control state.
 type View struct {
+	// Roster lists the nodes.
+	*Roster
 	// Config is nil before the first configuration.
 	Config *fleet.Config
 	// Document is the encoded configuration, for nodes that lack it.
 	Document []byte
-	// Members are all nodes by ID, this one included.
-	Members map[string]Member
-	// MembersKnown tells that the table of members was read once.
-	MembersKnown bool
-	// Services lists the nodes beside the servers of each service.
-	Services map[string]*Pool
-	// keys maps the names of nodes in beacons to their IDs, except names that
-	// several nodes share.
-	keys map[beacon.Key]string
+	// MembersVersion is the version of the table of members up to which no change
+	// is missing; 0 before the table was read once. MembersNewest is that of the
+	// newest change.
+	MembersVersion, MembersNewest uint64
 	// Server is the own backend server; its ID is empty if none registered.
 	Server registration.Server
 	// Leaving is set when the process stops. StopSince is then the start of the
@@ -49,14 +44,11 @@
 	StopSince, StopAt time.Time
 }
 
-// Pool is the nodes of one service. Members and Candidates go together.
-type Pool struct {
-	Members    []Member
-	Candidates []pick.Candidate
-}
-
 // Ready reports whether callers may use the node.
-func (v *View) Ready() bool { return v.Config != nil && v.MembersKnown && !v.Leaving }
+func (v *View) Ready() bool { return v.Config != nil && v.MembersKnown() && !v.Leaving }
+
+// MembersKnown tells that the table of members was read once.
+func (v *View) MembersKnown() bool { return v.MembersVersion > 0 }
 
 // takes reports whether the node takes a hop that must end within left. While it
 // stops, it takes the work that ends before it does.
@@ -75,12 +67,14 @@
 
 // state is owned by the control goroutine.
 type state struct {
-	config       *fleet.Config
-	document     []byte
-	members      map[string]Member
-	membersKnown bool
-	registry     *registration.Registry
-	leaving      bool
+	self     Member
+	config   *fleet.Config
+	document []byte
+	members  *memberTable
+	// roster is that of members; nil after a change of them.
+	roster   *Roster
+	registry *registration.Registry
+	leaving  bool
 	// stopSince and stopAt are set with leaving.
 	stopSince, stopAt time.Time
 }
@@ -103,7 +97,8 @@
 func NewBoard(self Member, onChange func(before, after *View)) *Board {
 	b := &Board{posts: make(chan func(*state), postQueue), onChange: onChange}
 	b.state = state{
-		members:  map[string]Member{self.ID: self},
+		self:     self,
+		members:  newMemberTable(),
 		registry: registration.New(self.Service),
 	}
 	b.view.Store(b.state.publish())
@@ -149,29 +144,22 @@
 	}
 }
 
-// publish returns the view of the state. Maps are copied, because views are
-// read without a lock.
+// publish returns the view of the state.
 func (s *state) publish() *View {
-	view := &View{
-		Config:       s.config,
-		Document:     s.document,
-		Members:      make(map[string]Member, len(s.members)),
-		MembersKnown: s.membersKnown,
-		Services:     map[string]*Pool{},
-		Leaving:      s.leaving,
-		StopSince:    s.stopSince,
-		StopAt:       s.stopAt,
+	if s.roster == nil {
+		members := s.members.members()
+		members[s.self.ID] = s.self
+		s.roster = newRoster(s.self, members)
 	}
-	view.keys = keysOf(s.members)
-	for id, member := range s.members {
-		view.Members[id] = member
-		pool := view.Services[member.Service]
-		if pool == nil {
-			pool = &Pool{}
-			view.Services[member.Service] = pool
-		}
-		pool.Members = append(pool.Members, member)
-		pool.Candidates = append(pool.Candidates, pick.Candidate{ID: member.ID, DataCentre: member.DataCentre, Region: member.Region})
+	view := &View{
+		Roster:         s.roster,
+		Config:         s.config,
+		Document:       s.document,
+		MembersVersion: s.members.version,
+		MembersNewest:  s.members.newest,
+		Leaving:        s.leaving,
+		StopSince:      s.stopSince,
+		StopAt:         s.stopAt,
 	}
 	if server, ok := s.registry.Current(); ok {
 		view.Server = server
@@ -179,20 +167,11 @@
 	return view
 }
 
-func keysOf(members map[string]Member) map[beacon.Key]string {
-	keys := make(map[beacon.Key]string, len(members))
-	shared := map[beacon.Key]bool{}
-	for id := range members {
-		key := beacon.KeyOf(id)
-		if _, taken := keys[key]; taken {
-			shared[key] = true
-		}
-		keys[key] = id
-	}
-	for key := range shared {
-		delete(keys, key)
+// takeMembers applies changes of the table of members.
+func (s *state) takeMembers(changes memberChanges) {
+	if s.members.take(changes) {
+		s.roster = nil
 	}
-	return keys
 }
 
 // heartbeat takes a report of the own server.
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -100,7 +100,7 @@
 		id: e.headers.RequestID(r.Header), method: r.Method, target: r.RequestURI,
 		host: r.Host, header: r.Header, arrived: now,
 	}
-	if view.Config == nil || !view.MembersKnown {
+	if view.Config == nil || !view.MembersKnown() {
 		return x, codes.NotReady.New("the node has no configuration yet")
 	}
 	found, ok := view.Config.Index.FindPrefix(hostName(r.Host), pathOf(r))
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,13 +10,6 @@
 	"github.com/tarragonford/tarragonford/internal/gate"
 )
 
-// peerState is what a node tells another that lacks it.
-type peerState struct {
-	// Document is the encoded configuration.
-	Document []byte            `json:"document"`
-	Members  map[string]Member `json:"members,omitempty"`
-}
-
 // inbound serves the requests of other nodes.
 type inbound struct {
 	host *host
@@ -33,7 +25,7 @@
 // ServeHTTP implements http.Handler.
 func (i *inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if want := r.Header.Get(headerState); want != "" {
-		i.serveState(w, want)
+		serveState(w, r, i.host.board, decodeStateWanted(want))
 		return
 	}
 	t, err := decodeTerms(r.Header.Get(headerHop))
@@ -60,27 +52,6 @@
 	writeReply(w, request.id, i.headers, i.host.serve(r.Context(), request))
 }
 
-// What another node asks for.
-const (
-	stateAll           = "all"
-	stateConfiguration = "configuration"
-)
-
-func (i *inbound) serveState(w http.ResponseWriter, want string) {
-	view := i.host.board.View()
-	state := peerState{Document: view.Document}
-	if want == stateAll {
-		state.Members = view.Members
-	}
-	body, err := json.Marshal(state)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	// A peer that cannot read the state asks another node.
-	_, _ = w.Write(body)
-}
-
 // writeReply sends the reply of the host to the entry.
 func writeReply(w http.ResponseWriter, id string, headers Headers, reply *hopReply) {
 	header := w.Header()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -101,6 +101,7 @@
 	n.syncer = &syncer{
 		self: self, settings: s, board: n.board, source: parts.Source,
 		configuration: parts.Configuration, peers: n.peers, log: n.log, random: rand.Float64,
+		turn: n.beacons, readConfiguration: make(chan struct{}, 1),
 	}
 	n.entry = &entry{
 		settings: s, board: n.board, picker: n.picker, splitter: n.splitter, peers: n.peers,
@@ -112,16 +113,24 @@
 		},
 	}
 	n.beacons.self, n.beacons.board, n.beacons.gate, n.beacons.picker = self, n.board, n.gate, n.picker
-	n.beacons.log, n.beacons.onVersion = n.log, n.heard
+	n.beacons.log = n.log
+	n.beacons.onVersions = func(configuration, members uint64, addr string) {
+		n.syncer.heard(n.lifetime, configuration, members, addr)
+	}
+	n.beacons.follows = n.syncer.follows
 	n.beacons.onLoad = func() { n.entry.host.judge("", gate.None) }
 	return n
 }
 
-func (n *Node) heard(version uint64, addr string) { n.syncer.heard(n.lifetime, version, addr) }
+// heard takes the configuration version that a node told with a hop.
+func (n *Node) heard(version uint64, addr string) { n.syncer.heard(n.lifetime, version, 0, addr) }
 
 // changed follows a change of the control state. It runs on the control
 // goroutine.
 func (n *Node) changed(before, after *View) {
+	if before.MembersNewest != after.MembersNewest {
+		n.beacons.changed()
+	}
 	if before.Config != after.Config {
 		n.splitter.Reset()
 		// Beacons tell the version to nodes that the store has not told.
@@ -129,7 +138,9 @@
 		n.parts.Telemetry.Metrics.ConfigVersion.Set(int64(after.Config.Version))
 	}
 	n.logChanges(before, after)
-	n.shareRepeats(after)
+	if before.Roster != after.Roster || before.MembersKnown() != after.MembersKnown() {
+		n.shareRepeats(after)
+	}
 	if before.Server == after.Server {
 		return
 	}
@@ -157,7 +168,13 @@
 func (n *Node) logChanges(before, after *View) {
 	if before.Ready() != after.Ready() {
 		n.log.Info("ready", zap.Bool("ready", after.Ready()), zap.Uint64("config", after.version()),
-			zap.Bool("members_known", after.MembersKnown), zap.Bool("leaving", after.Leaving))
+			zap.Bool("members_known", after.MembersKnown()), zap.Bool("leaving", after.Leaving))
+	}
+	if before.Roster == after.Roster {
+		return
+	}
+	for _, id := range after.misaddressed {
+		n.log.Error("address for beacons not understood", zap.String("node", id))
 	}
 	joined, left := missing(after.Members, before.Members), missing(before.Members, after.Members)
 	if len(joined)+len(left) > 0 {
@@ -185,7 +202,7 @@
 // shareRepeats gives the gate its part of the service's retry budget.
 func (n *Node) shareRepeats(view *View) {
 	terms := gate.RepeatTerms{Ratio: n.settings.RetryRatio * budgetMargin, Window: n.settings.RetryWindow}
-	if pool := view.Services[n.settings.Service]; pool != nil && view.MembersKnown {
+	if pool := view.Services[n.settings.Service]; pool != nil && view.MembersKnown() {
 		terms.Allowance = n.settings.RetryAllowance * budgetMargin / float64(len(pool.Members))
 	}
 	n.gate.SetRepeatTerms(terms)
--- /dev/null
+++ b/internal/sidecar/roster_test.go
@@ -0,0 +1,106 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonford/tarragonford/internal/registration"
+)
+
+// fleetOf returns a node and the list of all nodes, in five data centres.
+func fleetOf(nodes int) (Member, map[string]Member) {
+	members := map[string]Member{}
+	for i := range nodes {
+		m := Member{
+			ID: fmt.Sprintf("node-%d", i), Addr: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Beacon: fmt.Sprintf("10.0.%d.%d:90", i/250, i%250),
+			DataCentre: fmt.Sprintf("dc-%d", i%5), Region: "r", Service: fmt.Sprintf("service-%d", i%3),
+		}
+		members[m.ID] = m
+	}
+	return members["node-0"], members
+}
+
+func boardOf(self Member, members map[string]Member) *Board {
+	b := NewBoard(self, func(_, _ *View) {})
+	list := memberChanges{Version: 1, Complete: true}
+	for _, member := range members {
+		list.Rows = append(list.Rows, memberRow{Member: member, Version: 1})
+	}
+	b.apply(func(s *state) { s.takeMembers(list) })
+	return b
+}
+
+func TestTheRosterListsEachNodeOnce(t *testing.T) {
+	g := NewWithT(t)
+	self, members := fleetOf(233)
+	odd := members["node-7"]
+	odd.Beacon = "nowhere"
+	members["node-7"] = odd
+	r := newRoster(self, members)
+	g.Expect(r.Members).To(HaveLen(233))
+	g.Expect(r.near).To(HaveLen(46), "the other nodes of the data centre")
+	g.Expect(r.localKeys).To(HaveLen(47))
+	g.Expect(r.far).To(HaveLen(4))
+	candidates := 0
+	for _, pool := range r.Services {
+		candidates += len(pool.Candidates)
+	}
+	g.Expect(candidates).To(Equal(233))
+	g.Expect(r.misaddressed).To(ConsistOf("node-7"))
+}
+
+// The pattern: 233 nodes, a heartbeat of the own server every 1.5 s, and few changes
+// of the list of nodes. What a heartbeat costs does not depend on the number of nodes.
+func TestAHeartbeatKeepsTheRoster(t *testing.T) {
+	g := NewWithT(t)
+	self, members := fleetOf(233)
+	b := boardOf(self, members)
+	before := b.View().Roster
+	heartbeat := func(sequence uint64) {
+		b.apply(func(s *state) {
+			s.heartbeat(time.Now(), registration.Report{ID: "i-1", Born: 1, Sequence: sequence, Service: self.Service, Addr: "a", Slots: 6})
+		})
+	}
+	heartbeat(1)
+	g.Expect(b.View().Server.ID).To(Equal("i-1"))
+	g.Expect(b.View().Roster).To(BeIdenticalTo(before))
+	sequence := uint64(1)
+	g.Expect(testing.AllocsPerRun(100, func() { sequence++; heartbeat(sequence) })).To(BeNumerically("<", 10))
+
+	b.apply(func(s *state) {
+		s.takeMembers(memberChanges{Version: 2, Rows: []memberRow{
+			{Member: Member{ID: "node-9"}, Version: 2, Removed: true}, {Member: self, Version: 2, Removed: true},
+		}})
+	})
+	g.Expect(b.View().Members).To(HaveLen(232))
+	g.Expect(b.View().Members).To(HaveKey(self.ID), "the own node stays")
+	g.Expect(before.Members).To(HaveLen(233), "an earlier view does not change")
+}
+
+// The pattern: data centres of 3 to 100 nodes whose loads change all the time. The
+// datagrams that a node sends for that do not grow with the data centre.
+func TestBeaconsOfALoadAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	for _, near := range []int{2, 6, 10, 22, 46, 99} {
+		perSecond := float64(near) / localPause(near).Seconds()
+		g.Expect(perSecond).To(BeNumerically("<=", localRate+1), "%d other nodes", near)
+	}
+	g.Expect(localPause(6)).To(Equal(minInterval))
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, nodes := range []int{21, 98, 233, 500} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			self, members := fleetOf(nodes)
+			board := boardOf(self, members)
+			for i := 0; b.Loop(); i++ {
+				board.apply(func(s *state) {
+					s.heartbeat(time.Now(), registration.Report{ID: "i-1", Born: 1, Sequence: uint64(i + 1), Service: self.Service, Addr: "a", Slots: 6})
+				})
+			}
+		})
+	}
+}
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -41,6 +41,19 @@
 	maxBackoff = time.Second
 	// firstStartPause lets all members write their rows before the first read.
 	firstStartPause = 1500 * time.Millisecond
+	// looseTime is the mean time between two reads of a table by a node that leaves
+	// it to others to follow the table. They tell it of changes; its own reads find
+	// those that no follower has seen.
+	looseTime = 30 * time.Second
+	// turnCheck is the time between two looks whether it is the node's turn to
+	// follow.
+	turnCheck = 500 * time.Millisecond
+	// looseMaxBackoff bounds the pause after a failed call of a node that others
+	// go before in following.
+	looseMaxBackoff = 4 * time.Second
+	// farPeerDelay is how long a node that follows the store waits for news from
+	// there before it asks a node of another data centre.
+	farPeerDelay = 500 * time.Millisecond
 	// peerStateTimeout bounds the call that asks another node for its state.
 	peerStateTimeout = time.Second
 )
@@ -68,18 +81,42 @@
 	log           *zap.Logger
 	// asking is set while another node is asked for its state.
 	asking atomic.Bool
+	// turn tells how many nodes go before this one in following the store.
+	turn turn
+	// lost counts the tables that could not be read the last time.
+	lost atomic.Int32
+	// readConfiguration asks for a read of the configuration at the store.
+	readConfiguration chan struct{}
 	// random yields uniform numbers from 0 to 1.
 	random func() float64
 }
 
-// follow reads a table and applies its changes until ctx ends.
-func (s *syncer) follow(ctx context.Context, table string, pause time.Duration, apply func(rows []platform.Row, changes []platform.Change)) {
+// turn tells a node of its place among those of its data centre that may follow the
+// store.
+type turn interface {
+	// followsClosely reports whether the node is to watch the tables, because too
+	// few others of its data centre do.
+	followsClosely() bool
+	// isFirst reports whether the node is one of those that follow when all can.
+	isFirst() bool
+}
+
+// follow reads a table and applies its changes until ctx ends. A few nodes of each
+// data centre watch it; the others learn of changes from them, and read now and then
+// or when asked.
+func (s *syncer) follow(ctx context.Context, table string, pause time.Duration, asked <-chan struct{}, apply func(rows []platform.Row, changes []platform.Change, version uint64)) {
 	version, known, down := uint64(0), false, false
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		err := s.step(ctx, table, &version, &known, s.watchFor(down), apply)
+		wait := s.watchFor(down)
+		if known && !down && !s.turn.followsClosely() {
+			s.rest(ctx, asked)
+			wait = 0
+		}
+		err := s.step(ctx, table, &version, &known, wait, apply)
 		if err == nil {
 			if down {
+				s.lost.Add(-1)
 				s.log.Info("dependency regained", zap.String("dependency", "store"), zap.String("table", table))
 			}
 			down, backoff = false, minBackoff
@@ -92,14 +129,49 @@
 			continue
 		}
 		if !down && ctx.Err() == nil {
+			s.lost.Add(1)
 			s.log.Warn("dependency lost", zap.String("dependency", "store"), zap.String("table", table), zap.Error(err))
 		}
 		down = true
 		sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, maxBackoff)
+		backoff = min(2*backoff, s.maxBackoff(known))
+	}
+}
+
+// maxBackoff bounds the pause after a failed call. Nodes that have the table leave
+// it to a few to see early that the store is back.
+func (s *syncer) maxBackoff(known bool) time.Duration {
+	if known && !s.turn.isFirst() {
+		return looseMaxBackoff
+	}
+	return maxBackoff
+}
+
+// rest waits until the node is to read a table that others follow: after looseTime,
+// when asked, or when too few others follow.
+func (s *syncer) rest(ctx context.Context, asked <-chan struct{}) {
+	end := time.After(time.Duration((0.5 + s.random()) * float64(looseTime)))
+	check := time.NewTicker(turnCheck)
+	defer check.Stop()
+	for {
+		select {
+		case <-end:
+			return
+		case <-asked:
+			return
+		case <-check.C:
+			if s.turn.followsClosely() {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
+// follows reports whether the node follows the store now.
+func (s *syncer) follows() bool { return s.lost.Load() == 0 && s.turn.followsClosely() }
+
 // watchFor returns how long the next watch waits for a change. While the store is
 // lost it does not wait at all, to see early that the store is back.
 func (s *syncer) watchFor(lost bool) time.Duration {
@@ -113,14 +185,14 @@
 	return time.Duration((0.75 + s.random()/2) * float64(mean))
 }
 
-func (s *syncer) step(ctx context.Context, table string, version *uint64, known *bool, wait time.Duration, apply func([]platform.Row, []platform.Change)) error {
+func (s *syncer) step(ctx context.Context, table string, version *uint64, known *bool, wait time.Duration, apply func([]platform.Row, []platform.Change, uint64)) error {
 	if !*known {
 		rows, at, err := s.source.Snapshot(ctx, table)
 		if err != nil {
 			return err
 		}
 		*version, *known = at, true
-		apply(rows, nil)
+		apply(rows, nil, at)
 		return nil
 	}
 	changes, next, err := s.source.Watch(ctx, table, *version, wait)
@@ -129,7 +201,7 @@
 	}
 	*version = next
 	if len(changes) > 0 {
-		apply(nil, changes)
+		apply(nil, changes, next)
 	}
 	return nil
 }
@@ -144,7 +216,7 @@
 
 // followConfiguration keeps the newest configuration in force.
 func (s *syncer) followConfiguration(ctx context.Context) {
-	s.follow(ctx, s.configuration.Table, configurationPause, func(rows []platform.Row, changes []platform.Change) {
+	s.follow(ctx, s.configuration.Table, configurationPause, s.readConfiguration, func(rows []platform.Row, changes []platform.Change, _ uint64) {
 		for _, row := range rows {
 			s.takeRow(row)
 		}
@@ -185,56 +257,49 @@
 		s.writeSelf(ctx)
 		sleep(ctx, firstStartPause)
 	}
-	s.follow(ctx, TableMembers, membersPause, func(rows []platform.Row, changes []platform.Change) {
-		members, removed := s.decodeMembers(rows, changes)
-		s.board.posts <- func(state *state) {
-			if changes == nil {
-				state.members = map[string]Member{}
-				state.membersKnown = true
-			}
-			for id, member := range members {
-				state.members[id] = member
-			}
-			for _, id := range removed {
-				delete(state.members, id)
-			}
-			state.members[s.self.ID] = s.self
-		}
-		if changes == nil && members[s.self.ID] != s.self || contains(removed, s.self.ID) && !s.board.View().Leaving {
+	s.follow(ctx, TableMembers, membersPause, nil, func(rows []platform.Row, changes []platform.Change, version uint64) {
+		news := s.decodeMembers(rows, changes, version)
+		s.board.posts <- func(state *state) { state.takeMembers(news) }
+		if !s.board.View().Leaving && s.lacksSelf(news) {
 			go s.writeSelf(ctx)
 		}
 	})
 }
 
-func contains(list []string, id string) bool {
-	for _, other := range list {
-		if other == id {
-			return true
+// lacksSelf reports whether the row of this node is missing after the changes.
+func (s *syncer) lacksSelf(news memberChanges) bool {
+	for _, row := range news.Rows {
+		if row.ID == s.self.ID {
+			return row.Removed || row.Member != s.self
 		}
 	}
-	return false
+	return news.Complete
 }
 
-func (s *syncer) decodeMembers(rows []platform.Row, changes []platform.Change) (map[string]Member, []string) {
-	members := map[string]Member{}
-	var removed []string
+// decodeMembers returns rows and changes without those that cannot be read.
+func (s *syncer) decodeMembers(rows []platform.Row, changes []platform.Change, version uint64) memberChanges {
+	decoded := memberChanges{Version: version, Complete: changes == nil}
 	for _, change := range changes {
 		if change.Removed {
-			removed = append(removed, change.Key)
-			delete(members, change.Key)
+			removed := memberRow{Member: Member{ID: change.Key}, Version: change.Version, Removed: true}
+			if removed.Version == 0 {
+				// The store need not tell when the row was removed.
+				removed.Version = version
+			}
+			decoded.Rows = append(decoded.Rows, removed)
 			continue
 		}
 		rows = append(rows, change.Row)
 	}
 	for _, row := range rows {
-		var member Member
-		if err := json.Unmarshal(row.Value, &member); err != nil || member.ID != row.Key {
+		member := memberRow{Version: row.Version}
+		if err := json.Unmarshal(row.Value, &member.Member); err != nil || member.ID != row.Key {
 			s.log.Error("member not understood", zap.String("key", row.Key), zap.Error(err))
 			continue
 		}
-		members[member.ID] = member
+		decoded.Rows = append(decoded.Rows, member)
 	}
-	return members, removed
+	return decoded
 }
 
 // writeSelf writes the row of this node until it is there.
@@ -293,30 +358,55 @@
 	s.board.posts <- func(state *state) { state.registry.Restore(left) }
 }
 
-// heard takes the configuration version of another node, and asks that node for
-// its state if it is newer than the own one.
-func (s *syncer) heard(ctx context.Context, version uint64, addr string) {
+// heard takes the versions that another node has, of the configuration and of the
+// table of members, 0 if it does not tell one, and asks that node for what this one
+// lacks. Nodes of other data centres are asked only by those that follow the store,
+// and only if the news do not come from there soon, because they cross the dearest
+// links.
+func (s *syncer) heard(ctx context.Context, configuration, members uint64, addr string) {
 	view := s.board.View()
-	if version == 0 || view.Config != nil && view.Config.Version >= version || !s.asking.CompareAndSwap(false, true) {
+	if s.wanted(view, configuration, members).none() {
+		return
+	}
+	delay := time.Duration(0)
+	if view.MembersKnown() && s.lost.Load() == 0 && !view.nearAddrs[addr] {
+		if !s.turn.followsClosely() {
+			return
+		}
+		delay = farPeerDelay
+	}
+	if !s.asking.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer s.asking.Store(false)
-		if err := s.askPeer(ctx, addr); err != nil {
+		sleep(ctx, delay)
+		want := s.wanted(s.board.View(), configuration, members)
+		if want.none() || ctx.Err() != nil {
+			return
+		}
+		if err := s.askPeer(ctx, addr, want); err != nil {
 			s.log.Warn("state of another node not read", zap.String("addr", addr), zap.Error(err))
 		}
 	}()
 }
 
-func (s *syncer) askPeer(ctx context.Context, addr string) error {
+// wanted returns what this node lacks of the versions that another one has.
+func (s *syncer) wanted(view *View, configuration, members uint64) stateWanted {
+	return stateWanted{
+		configuration: configuration > view.version(),
+		// Any node that has a configuration knows members.
+		members: members > view.MembersVersion || !view.MembersKnown() && configuration > 0,
+		since:   view.MembersVersion,
+		large:   s.lost.Load() > 0,
+	}
+}
+
+func (s *syncer) askPeer(ctx context.Context, addr string, want stateWanted) error {
 	ctx, cancel := context.WithTimeout(ctx, peerStateTimeout)
 	defer cancel()
-	want := stateConfiguration
-	if !s.board.View().MembersKnown {
-		want = stateAll
-	}
 	answer, err := s.peers.do(ctx, addr, &httpconn.Request{
-		Method: http.MethodGet, Target: "/", Host: addr, Header: http.Header{headerState: {want}},
+		Method: http.MethodGet, Target: "/", Host: addr, Header: http.Header{headerState: {want.encode()}},
 	})
 	if err != nil {
 		return trace.Wrap(err)
@@ -328,13 +418,14 @@
 	if len(peer.Document) > 0 {
 		s.takeDocument(peer.Document, addr)
 	}
-	s.board.posts <- func(state *state) {
-		for id, member := range peer.Members {
-			if _, known := state.members[id]; !known && !state.membersKnown {
-				state.members[id] = member
-			}
+	if peer.Large {
+		select {
+		case s.readConfiguration <- struct{}{}:
+		default:
 		}
-		state.membersKnown = state.membersKnown || len(peer.Members) > 0
+	}
+	if peer.Members != nil && peer.Members.Version > 0 {
+		s.board.posts <- func(state *state) { state.takeMembers(*peer.Members) }
 	}
 	return nil
 }
