Bound the bytes of a server that never stops sending

Cause: nothing bounded the head of an answer (one header, many, or informational answers without end were read at full speed until the deadline), and a body found too long was still read until the deadline, because closing it drains it.

Change: at most 64 kB of an answer are no body (status line, header, informational answers, trailers); a body above its limit closes the connection at once; all bodies of a node together take a quarter of its memory at most (limit.Bodies, which tarragond has for requests, now with holds for answers). Requests beyond that are refused as not run (1019), answers end in 502, for the work may have run. Heads between nodes and of callers are bounded to 128 kB (were 10 MB and 1 MB).

Ruled out: a limit on the number of informational answers; their bytes are enough.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -12,6 +13,7 @@
 	net.Conn
 	addr      string
 	reader    *bufio.Reader
+	limited   *headLimit
 	idleSince time.Time
 	expires   time.Time
 }
@@ -20,7 +22,34 @@
 const readBuffer = 4 << 10
 
 func newConn(raw net.Conn, addr string) *conn {
-	return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(raw, readBuffer)}
+	limited := &headLimit{conn: raw}
+	return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(limited, readBuffer), limited: limited}
+}
+
+// headLimit reads a connection and bounds what is not a body: the head of an answer,
+// the informational answers before it, and the trailers.
+type headLimit struct {
+	conn net.Conn
+	// left is the number of bytes that may be read; negative for no bound.
+	left int64
+}
+
+// errHeadTooLong says that a server sent more than MaxHead bytes that are no body.
+var errHeadTooLong = fmt.Errorf("the head of the answer exceeds %d bytes", MaxHead)
+
+// Read implements io.Reader.
+func (h *headLimit) Read(p []byte) (int, error) {
+	if h.left == 0 {
+		return 0, errHeadTooLong
+	}
+	if h.left > 0 && int64(len(p)) > h.left {
+		p = p[:h.left]
+	}
+	n, err := h.conn.Read(p)
+	if h.left > 0 {
+		h.left -= int64(n)
+	}
+	return n, err
 }
 
 // quiet reports whether the peer has neither closed the connection nor sent
--- a/internal/httpconn/do.go
+++ b/internal/httpconn/do.go
@@ -6,11 +6,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/tarragonford/tarragonford/internal/limit"
 )
 
 // Errors of Do.
@@ -22,6 +23,10 @@
 	ErrUnknown = errors.New("the request was sent and its answer was lost")
 )
 
+// MaxHead bounds the head of an answer in bytes, with the informational answers
+// before it and the trailers.
+const MaxHead = 64 << 10
+
 // maxExtraAnswers bounds the answers to other requests that are skipped.
 const maxExtraAnswers = 2
 
@@ -42,6 +47,8 @@
 	// MaxIdle bounds how long a kept connection may have been idle. A
 	// connection that the peer closes meanwhile loses the request.
 	MaxIdle time.Duration
+	// Hold takes the memory of the answer; nil for no bound.
+	Hold *limit.Hold
 }
 
 // Answer is a whole answer.
@@ -146,6 +153,7 @@
 // be kept: discard, 0 if the peer names no limit, or its limit.
 func (p *Pool) readAnswer(c *conn, r *Request) (*Answer, time.Duration, error) {
 	request := &http.Request{Method: r.Method}
+	c.limited.left = MaxHead
 	for extra := 0; ; {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -157,7 +165,7 @@
 			}
 			continue
 		}
-		body, err := readBody(response, p.options.MaxAnswer)
+		body, err := p.readBody(c, response, r.Hold)
 		if err != nil {
 			return nil, discard, err
 		}
@@ -175,16 +183,25 @@
 	}
 }
 
-func readBody(response *http.Response, limit int64) ([]byte, error) {
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, fmt.Errorf("the answer exceeds %d bytes", limit)
-	}
-	return body, nil
+// readBody reads the body of an answer. After an error it leaves the rest unread: the
+// connection is closed then, and closing the body would read on.
+func (p *Pool) readBody(c *conn, response *http.Response, hold *limit.Hold) ([]byte, error) {
+	length := response.ContentLength
+	if isBodyless(response) {
+		length = 0
+	}
+	// Beside its own bytes a body in chunks has sizes and extensions, of which
+	// net/http allows a share, and trailers.
+	c.limited.left = 2*p.options.MaxAnswer + MaxHead
+	body, err := hold.Read(response.Body, length, p.options.MaxAnswer)
+	c.limited.left = MaxHead
+	return body, err
+}
+
+// isBodyless reports whether the announced length is not that of a body that follows.
+func isBodyless(response *http.Response) bool {
+	return response.Request.Method == http.MethodHead ||
+		response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
 }
 
 func keepTime(response *http.Response, reader *bufio.Reader) time.Duration {
--- a/internal/limit/bodies.go
+++ b/internal/limit/bodies.go
@@ -8,7 +8,8 @@
 	"github.com/tarragonford/tarragonford/internal/codes"
 )
 
-// Bodies bounds the request bodies that are held at a time, in bytes. The limit
+// Bodies bounds the bodies that are held at a time, in bytes, of requests by its
+// Handler and of answers by its Holds. The limit
 // of one body alone does not bound memory: 10,000 connections with 1 MiB each
 // would hold 10 GiB.
 type Bodies struct {
@@ -49,7 +50,7 @@
 	n, err := h.ReadCloser.Read(p)
 	h.size += int64(n)
 	if h.bodies.held.Add(int64(n)) > h.bodies.limit {
-		return n, codes.BodyMemory.New("the node holds request bodies of %d bytes", h.bodies.limit)
+		return n, codes.BodyMemory.New("the node holds bodies of %d bytes", h.bodies.limit)
 	}
 	return n, err
 }
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -58,7 +58,7 @@
 			}
 			continue
 		}
-		if x.attempts == 0 && !x.runFitsStop(choice.Service) {
+		if !x.runFitsStop(choice.Service) {
 			break
 		}
 		hops++
@@ -160,7 +160,7 @@
 	stripHop(header)
 	header[headerHop] = []string{r.encode()}
 	answer, err := e.peers.do(ctx, member.Addr, &httpconn.Request{
-		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, ID: r.id,
+		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, ID: r.id, Hold: r.hold,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -16,6 +16,7 @@
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
+	"github.com/tarragonford/tarragonford/internal/limit"
 	"github.com/tarragonford/tarragonford/internal/pick"
 	"github.com/tarragonford/tarragonford/internal/problem"
 	"github.com/tarragonford/tarragonford/internal/route"
@@ -43,6 +44,7 @@
 	headers   Headers
 	log       *zap.Logger
 	telemetry *telemetry.Telemetry
+	bodies    *limit.Bodies
 	// onVersion is called with the configuration version of another node.
 	onVersion func(version uint64, inbound string)
 }
@@ -78,7 +80,7 @@
 	if err != nil {
 		coded := codes.Of(err)
 		after := time.Duration(0)
-		if coded.Code.Number == codes.Leaving.Number {
+		if coded.Code.Number == codes.Leaving.Number || coded.Code.Number == codes.BodyMemory.Number {
 			after = minRetryAfter
 		}
 		e.fail(w, x, coded, after)
@@ -88,6 +90,8 @@
 	defer span.End()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	x.request.hold = e.bodies.Hold()
+	defer x.request.hold.Release()
 	x.run(ctx, w)
 }
 
@@ -169,8 +173,8 @@
 }
 
 // runFitsStop reports whether a run at a server with a mean service time is likely to
-// end before the node does. A caller that is told that its request did not run can
-// send it to another node; one whose connection ends cannot.
+// end before the node does. A caller that is told that its request did not run, or
+// gets the failure of an earlier attempt, knows more than one whose connection ends.
 func (x *exchange) runFitsStop(service time.Duration) bool {
 	return x.view.StopAt.IsZero() || runFactor*service < time.Until(x.view.StopAt)
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -13,6 +13,7 @@
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
+	"github.com/tarragonford/tarragonford/internal/limit"
 	"github.com/tarragonford/tarragonford/internal/registration"
 	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
@@ -39,6 +40,8 @@
 	host   string
 	header http.Header
 	body   []byte
+	// hold takes the memory of the answer.
+	hold *limit.Hold
 	// arrived is the time from which the terms count.
 	arrived time.Time
 }
@@ -171,7 +174,7 @@
 	}
 	return &httpconn.Request{
 		Method: r.method, Target: r.target, Host: r.host,
-		Header: header, Body: r.body, ID: r.id, MaxIdle: maxIdle,
+		Header: header, Body: r.body, ID: r.id, MaxIdle: maxIdle, Hold: r.hold,
 	}
 }
 
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/gate"
+	"github.com/tarragonford/tarragonford/internal/limit"
 )
 
 // inbound serves the requests of other nodes.
@@ -17,6 +18,8 @@
 	service string
 	// maxBody bounds a request body in bytes.
 	maxBody int64
+	// bodies bounds the memory of all bodies.
+	bodies  *limit.Bodies
 	headers Headers
 	// onVersion is called with the configuration version of another node.
 	onVersion func(version uint64, inbound string)
@@ -43,8 +46,9 @@
 	}
 	request := &hopRequest{
 		terms: t, id: i.headers.RequestID(r.Header), method: r.Method, target: hopTarget(r),
-		host: r.Host, header: r.Header, body: body, arrived: arrived,
+		host: r.Host, header: r.Header, body: body, hold: i.bodies.Hold(), arrived: arrived,
 	}
+	defer request.hold.Release()
 	if t.service != i.service {
 		writeReply(w, request.id, i.headers, refuse(gate.Closed, 0))
 		return
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonford/tarragonford/internal/beacon"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
+	"github.com/tarragonford/tarragonford/internal/limit"
 	"github.com/tarragonford/tarragonford/internal/pick"
 	"github.com/tarragonford/tarragonford/internal/registration"
 	"github.com/tarragonford/tarragonford/internal/route"
@@ -38,6 +39,13 @@
 	// limits that configurations set, so that no caller's kept connection is
 	// closed under its next request.
 	callerIdleTime = 3 * time.Minute
+	// maxHead bounds the head of a request and, between nodes, of an answer. It
+	// leaves room for the head of a server's answer and the headers of a hop.
+	maxHead = 2 * httpconn.MaxHead
+	// bodyShare is the part of the memory of the process that bodies may take, and
+	// standardBodies what they may take where that is not known, in bytes.
+	bodyShare      = 0.25
+	standardBodies = 64 << 20
 	// sweepInterval is the time between two removals of idle connections and of
 	// what is known of nodes that are gone.
 	sweepInterval = 2 * time.Second
@@ -72,6 +80,8 @@
 	syncer   *syncer
 	entry    *entry
 	beacons  *beacons
+	// bodies bounds the memory of all bodies.
+	bodies *limit.Bodies
 	// lifetime ends with the process.
 	lifetime context.Context
 	end      context.CancelFunc
@@ -98,6 +108,7 @@
 		IDHeader:    parts.RequestIDHeader,
 	})
 	n.peers = newPeerClient()
+	n.bodies = limit.NewBodies(bodyMemory(s))
 	n.syncer = &syncer{
 		self: self, settings: s, board: n.board, source: parts.Source,
 		configuration: parts.Configuration, peers: n.peers, log: n.log, random: rand.Float64,
@@ -105,7 +116,7 @@
 	}
 	n.entry = &entry{
 		settings: s, board: n.board, picker: n.picker, splitter: n.splitter, peers: n.peers,
-		headers: parts.Headers, log: n.log, telemetry: parts.Telemetry,
+		headers: parts.Headers, log: n.log, telemetry: parts.Telemetry, bodies: n.bodies,
 		onVersion: n.heard, sizes: answerSizes{mean: map[string]float64{}},
 		host: &host{
 			board: n.board, gate: n.gate, pool: n.servers, headers: parts.Headers, addr: s.ServerAddr,
@@ -122,6 +133,14 @@
 	return n
 }
 
+// bodyMemory returns what all bodies together may take in bytes.
+func bodyMemory(s Settings) int64 {
+	if s.Memory <= 0 {
+		return standardBodies
+	}
+	return int64(bodyShare * float64(s.Memory))
+}
+
 // heard takes the configuration version that a node told with a hop.
 func (n *Node) heard(version uint64, addr string) { n.syncer.heard(n.lifetime, version, 0, addr) }
 
@@ -306,10 +325,10 @@
 }
 
 func (n *Node) listen() ([]*http.Server, []net.Listener, error) {
-	hop := &inbound{host: n.entry.host, service: n.settings.Service, maxBody: maxAnswer, headers: n.parts.Headers, onVersion: n.heard}
+	hop := &inbound{host: n.entry.host, service: n.settings.Service, maxBody: maxAnswer, bodies: n.bodies, headers: n.parts.Headers, onVersion: n.heard}
 	handlers := []handled{
-		{n.settings.Outbound, counted(&n.callers, n.entry)},
-		{n.settings.Inbound, counted(&n.hops, hop)},
+		{n.settings.Outbound, counted(&n.callers, n.bodies.Handler(n.entry))},
+		{n.settings.Inbound, counted(&n.hops, n.bodies.Handler(hop))},
 		{n.settings.Ready, n.parts.ReadyHandler(func() bool { return n.board.View().Ready() })},
 		{n.settings.Registration, n.parts.RegistrationHandler(n)},
 	}
@@ -331,7 +350,8 @@
 		listeners = append(listeners, listener)
 		server := &http.Server{
 			Handler: h.handler, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdleTime,
-			ErrorLog: zap.NewStdLog(n.log), Protocols: new(http.Protocols),
+			MaxHeaderBytes: maxHead,
+			ErrorLog:       zap.NewStdLog(n.log), Protocols: new(http.Protocols),
 		}
 		server.Protocols.SetHTTP1(h.addr != n.settings.Inbound)
 		server.Protocols.SetUnencryptedHTTP2(h.addr == n.settings.Inbound)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -14,7 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
 )
 
@@ -54,8 +53,10 @@
 		DialContext:        dial,
 		DisableCompression: true,
 		IdleConnTimeout:    peerIdle,
-		Protocols:          new(http.Protocols),
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: peerSilence, PingTimeout: peerPing},
+
+		MaxResponseHeaderBytes: maxHead,
+		Protocols:              new(http.Protocols),
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: peerSilence, PingTimeout: peerPing},
 	}
 	transport.Protocols.SetUnencryptedHTTP2(true)
 	return &peerClient{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}}
@@ -108,11 +109,12 @@
 		}
 		return nil, fmt.Errorf("%w: %w", httpconn.ErrNotSent, err)
 	}
-	body, rest, err := forward.ReadBuffered(response.Body, maxAnswer, response.ContentLength)
-	if err == nil && rest != nil {
-		rest.Close()
-		err = fmt.Errorf("the answer exceeds %d bytes", maxAnswer)
+	// The stream ends with ctx, so that no error leaves it open.
+	length := response.ContentLength
+	if r.Method == http.MethodHead || !bodyAllowed(response.StatusCode) {
+		length = 0
 	}
+	body, err := r.Hold.Read(response.Body, length, maxAnswer)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", httpconn.ErrUnknown, err)
 	}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -36,6 +36,8 @@
 	Heartbeat time.Duration
 	// StopLimit is the time between SIGTERM and the end of the process.
 	StopLimit time.Duration
+	// Memory is that of the process in bytes; 0 if it is not known.
+	Memory int64
 	// RetryRatio, RetryWindow and RetryAllowance bound the further attempts of
 	// all nodes together; see gate.RepeatTerms.
 	RetryRatio     float64
