Let few nodes ask other data centres for their state, at different times

A node that has just started asked far nodes although its own read of the store was under way.

Test: TestFewNodesAskOtherDataCentres.

--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -51,8 +51,8 @@
 	// looseMaxBackoff bounds the pause after a failed call of a node that others
 	// go before in following.
 	looseMaxBackoff = 4 * time.Second
-	// farPeerDelay is how long a node that follows the store waits for news from
-	// there before it asks a node of another data centre.
+	// farPeerDelay is how long a node waits on average for news from the store or its
+	// own data centre before it asks a node of another one.
 	farPeerDelay = 500 * time.Millisecond
 	// peerStateTimeout bounds the call that asks another node for its state.
 	peerStateTimeout = time.Second
@@ -360,22 +360,15 @@
 
 // heard takes the versions that another node has, of the configuration and of the
 // table of members, 0 if it does not tell one, and asks that node for what this one
-// lacks. Nodes of other data centres are asked only by those that follow the store,
-// and only if the news do not come from there soon, because they cross the dearest
-// links.
+// lacks. Nodes of other data centres are asked only by a few, and only if the news do
+// not come by another way soon, because their answers cross the dearest links.
 func (s *syncer) heard(ctx context.Context, configuration, members uint64, addr string) {
 	view := s.board.View()
 	if s.wanted(view, configuration, members).none() {
 		return
 	}
-	delay := time.Duration(0)
-	if view.MembersKnown() && s.lost.Load() == 0 && !view.nearAddrs[addr] {
-		if !s.turn.followsClosely() {
-			return
-		}
-		delay = farPeerDelay
-	}
-	if !s.asking.CompareAndSwap(false, true) {
+	delay, ask := s.peerDelay(view, addr)
+	if !ask || !s.asking.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -391,6 +384,22 @@
 	}()
 }
 
+// peerDelay returns how long to wait for news by a better way before a node is asked,
+// or false if it is not to be asked at all.
+func (s *syncer) peerDelay(view *View, addr string) (time.Duration, bool) {
+	// Nodes that wait for the same news ask at different times, so that the first
+	// one can tell the others.
+	delay := time.Duration((0.5 + s.random()) * float64(farPeerDelay))
+	switch {
+	case !view.MembersKnown():
+		// The node has just started and reads the store.
+		return delay, true
+	case view.nearAddrs[addr]:
+		return 0, true
+	}
+	return delay, s.turn.isFirst()
+}
+
 // wanted returns what this node lacks of the versions that another one has.
 func (s *syncer) wanted(view *View, configuration, members uint64) stateWanted {
 	return stateWanted{
--- a/internal/sidecar/sync_test.go
+++ b/internal/sidecar/sync_test.go
@@ -205,3 +205,21 @@
 		g.Expect(next.Load() - before).To(BeNumerically(">", 8))
 	})
 }
+
+// The pattern: the store is away or has just come back, and a node of another data
+// centre tells of a configuration of 2,000 routes. Its answers cross the dearest links,
+// so that few ask, at different times, and the others learn it from them.
+func TestFewNodesAskOtherDataCentres(t *testing.T) {
+	g := NewWithT(t)
+	view := &View{Roster: &Roster{nearAddrs: map[string]bool{"near": true}}, MembersVersion: 1}
+	asking := map[time.Duration]bool{}
+	for _, s := range dataCentre(47, 1) {
+		if delay, ask := s.peerDelay(view, "far"); ask {
+			asking[delay] = true
+		}
+		delay, ask := s.peerDelay(view, "near")
+		g.Expect(ask).To(BeTrue())
+		g.Expect(delay).To(BeZero())
+	}
+	g.Expect(asking).To(HaveLen(followers))
+}
