Use no server whose leave may have been forgotten by a restart

Cause: a restarted node read once from the store which server had left beside it.

Change: the read is repeated until the store answers, and comes before the first list of members, so that a node that is ready by the store knows.

Ruled out: holding the server back until the store answers; a fleet that restarts without the store would serve nobody.

--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -29,6 +29,8 @@
 	Addr    string
 	Slots   int
 	Leaving bool
+	// Unsure tells that the server may have left while an earlier process ran.
+	Unsure bool
 	// WarmUntil is the end of the cold start.
 	WarmUntil time.Time
 	// ReportedAt is the arrival of the newest report.
@@ -39,6 +41,11 @@
 // one after the other.
 const maxLeft = 64
 
+// sureReports is the number of reports after which a server has not left although
+// the leaves of earlier processes are not known: a server that has left sends no more,
+// and one report of it may have been held up.
+const sureReports = 2
+
 // Registry holds the reports of one server address. It is not safe for
 // concurrent use.
 type Registry struct {
@@ -46,6 +53,10 @@
 	current  Server
 	known    bool
 	sequence uint64
+	// reports counts the reports of the current incarnation.
+	reports int
+	// leavesUnknown is set until the leaves that earlier processes took are known.
+	leavesUnknown bool
 	// left are the incarnations that left, oldest first.
 	left []Incarnation
 }
@@ -53,6 +64,16 @@
 // New returns a registry for the servers of one service.
 func New(service string) *Registry { return &Registry{service: service} }
 
+// AwaitLeaves tells that earlier processes of the node may have taken leaves that are
+// not known yet. Until LeavesKnown one report is not enough to use a server.
+func (r *Registry) AwaitLeaves() { r.leavesUnknown = true }
+
+// LeavesKnown ends AwaitLeaves.
+func (r *Registry) LeavesKnown() {
+	r.leavesUnknown = false
+	r.current.Unsure = false
+}
+
 // Restore adds an incarnation that left while an earlier process of the node
 // ran.
 func (r *Registry) Restore(left Incarnation) {
@@ -88,6 +109,10 @@
 	if report.Leaving {
 		r.remember(incarnation)
 	}
+	if !r.known || r.current.Incarnation != incarnation {
+		r.reports = 0
+	}
+	r.reports++
 	r.known = true
 	r.sequence = report.Sequence
 	r.current = Server{
@@ -95,6 +120,7 @@
 		Addr:        report.Addr,
 		Slots:       report.Slots,
 		Leaving:     r.hasLeft(incarnation),
+		Unsure:      r.leavesUnknown && r.reports < sureReports,
 		ReportedAt:  now,
 	}
 	if report.WarmUp > 0 {
--- a/internal/registration/registration_test.go
+++ b/internal/registration/registration_test.go
@@ -124,3 +124,30 @@
 		}
 	})
 }
+
+// The pattern: a process restarts while the store is away, so that it does not know
+// which servers left. A report of a server that has left, which was held up, must not
+// bring it into use; a server that goes on reporting has not left.
+func TestOneReportIsNotEnoughWhileLeavesAreUnknown(t *testing.T) {
+	g := NewWithT(t)
+	r := New("measures")
+	r.AwaitLeaves()
+	report := func(sequence uint64) Server {
+		r.Heartbeat(start, Report{ID: "a", Born: 1, Sequence: sequence, Service: "measures", Addr: "x", Slots: 6})
+		server, _ := r.Current()
+		return server
+	}
+	g.Expect(report(7).Unsure).To(BeTrue())
+	g.Expect(report(7).Unsure).To(BeTrue(), "the same report again")
+	g.Expect(report(6).Unsure).To(BeTrue(), "an older one")
+	g.Expect(report(8).Unsure).To(BeFalse())
+
+	r = New("measures")
+	r.AwaitLeaves()
+	g.Expect(report(7).Unsure).To(BeTrue())
+	r.Restore(Incarnation{ID: "a", Born: 1})
+	r.LeavesKnown()
+	server, _ := r.Current()
+	g.Expect(server.Unsure).To(BeFalse())
+	g.Expect(server.Leaving).To(BeTrue())
+}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -87,7 +87,7 @@
 
 func (h *host) admit(ctx context.Context, r *hopRequest) *hopReply {
 	view := h.board.View()
-	if !view.takes(time.Now(), time.Until(r.arrived.Add(r.left))) || view.Server.ID == "" || view.Server.Leaving {
+	if !view.takes(time.Now(), time.Until(r.arrived.Add(r.left))) || view.Server.ID == "" || view.Server.Leaving || view.Server.Unsure {
 		return refuse(gate.Closed, 0)
 	}
 	work := gate.Work{
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -98,6 +98,9 @@
 	n.lifetime, n.end = context.WithCancel(context.Background())
 	self := Member{ID: s.Node, Addr: s.Inbound, Beacon: s.Beacon, DataCentre: s.DataCentre, Region: s.Region, Service: s.Service}
 	n.board = NewBoard(self, n.changed)
+	if !s.FirstStart {
+		n.board.state.registry.AwaitLeaves()
+	}
 	n.picker = pick.New(s.DataCentre, s.Region)
 	n.splitter = route.NewSplitter()
 	n.servers = httpconn.NewPool(httpconn.Options{
@@ -165,7 +168,7 @@
 	}
 	now := time.Now()
 	fresh := before.Server.Incarnation != after.Server.Incarnation
-	if after.Server.Leaving {
+	if after.Server.Leaving || after.Server.Unsure {
 		n.gate.Close()
 	} else {
 		n.gate.Open(now, after.Server.Slots, after.Server.WarmUntil, fresh)
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -21,7 +21,7 @@
 	lateRunShare = 0.4
 	// runFactor times the mean service time is how long a run may take of which a
 	// stopping node is sure enough.
-	runFactor = 2
+	runFactor = 3
 	drainPoll = 20 * time.Millisecond
 	// lastHopTime is how long a node that has taken its last hop waits for those
 	// on the way, some times that of a beacon and a hop.
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -83,6 +83,8 @@
 	asking atomic.Bool
 	// turn tells how many nodes go before this one in following the store.
 	turn turn
+	// leftKnown is set once the leave of an earlier process was read.
+	leftKnown atomic.Bool
 	// lost counts the tables that could not be read the last time.
 	lost atomic.Int32
 	// readConfiguration asks for a read of the configuration at the store.
@@ -258,6 +260,8 @@
 		sleep(ctx, firstStartPause)
 	}
 	s.follow(ctx, TableMembers, membersPause, nil, func(rows []platform.Row, changes []platform.Change, version uint64) {
+		// The store answers; a node that is ready knows whether its server left.
+		s.readLeft(ctx)
 		news := s.decodeMembers(rows, changes, version)
 		s.board.posts <- func(state *state) { state.takeMembers(news) }
 		if !s.board.View().Leaving && s.lacksSelf(news) {
@@ -341,21 +345,45 @@
 	}
 }
 
-// restoreLeft reads which server left while an earlier process of this node ran.
+// restoreLeft reads which server left while an earlier process of this node ran. It
+// tries until the store answers, unless the first read of the members does so.
 func (s *syncer) restoreLeft(ctx context.Context) {
+	for known := false; !known && ctx.Err() == nil; known = s.readLeft(ctx) {
+		sleep(ctx, maxBackoff/2+rand.N(maxBackoff))
+	}
+}
+
+// readLeft reads the leave of an earlier process, unless that is done. It returns
+// false if the store does not answer.
+func (s *syncer) readLeft(ctx context.Context) bool {
+	if s.settings.FirstStart || s.leftKnown.Load() {
+		return true
+	}
 	row, err := s.source.Get(ctx, TableLeft, s.self.ID)
-	if errors.Is(err, platform.ErrNotFound) {
-		return
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		s.log.Warn("leaves of an earlier process are not known", zap.Error(err))
+		return false
 	}
+	if !s.leftKnown.Swap(true) {
+		s.takeLeft(row.Value)
+	}
+	return true
+}
+
+// takeLeft takes the recorded leave of an earlier process, empty for none.
+func (s *syncer) takeLeft(value []byte) {
 	var left registration.Incarnation
-	if err == nil {
-		err = json.Unmarshal(row.Value, &left)
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, &left); err != nil {
+			s.log.Error("leave of an earlier process not understood", zap.Error(err))
+		}
 	}
-	if err != nil {
-		s.log.Warn("leaves of an earlier process are not known", zap.Error(err))
-		return
+	s.board.posts <- func(state *state) {
+		if left.ID != "" {
+			state.registry.Restore(left)
+		}
+		state.registry.LeavesKnown()
 	}
-	s.board.posts <- func(state *state) { state.registry.Restore(left) }
 }
 
 // heard takes the versions that another node has, of the configuration and of the
