Wait a little at home rather than go to another data centre

Cause: a request looked for a free slot anywhere first and queued only when there was none in any data centre, so that a full moment at home sent it over the dear links. The body of an upload did not count as bytes of the way at all.

Change: in the first look a node of the own data centre may be chosen with a queue, if its expected wait is at most what the way is worth by the same cost (the way's share of the objective) and within the request's patience. The way counts body and answer.

Test: TestAShortWaitAtHomeSparesTheWay.

--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -12,7 +12,7 @@
 	// LossIfRepeatable is the cost of a failed run of an idempotent request.
 	LossIfRepeatable = 0.35
 	// otherDataCentre and otherRegion are the costs of the way, and perKilobyte
-	// those of the answer's bytes on it.
+	// those of the bytes of body and answer on it.
 	otherDataCentre = 0.04
 	otherRegion     = 0.2
 	perKilobyte     = 0.025
@@ -65,12 +65,15 @@
 	Last bool
 	// Patience is the longest expected wait for a slot; 0 for not at all.
 	Patience time.Duration
+	// HomePatience is the longest expected wait in the own data centre where that
+	// spares the way to another one.
+	HomePatience time.Duration
 	// Repeat tells that an earlier attempt reached a server.
 	Repeat bool
 	// Left is the time until the deadline of the request.
 	Left time.Duration
-	// AnswerBytes is the expected size of the answer.
-	AnswerBytes int
+	// Bytes is the size of the body and the expected size of the answer.
+	Bytes int
 	// Exclude reports candidates that the request has tried already.
 	Exclude func(id string) bool
 }
@@ -124,7 +127,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		s := p.state(c.ID)
-		if !s.takes(now, q, c.DataCentre != p.dataCentre) || q.Exclude != nil && q.Exclude(c.ID) {
+		if !s.takes(now, q, p.patience(c, q), c.DataCentre != p.dataCentre) || q.Exclude != nil && q.Exclude(c.ID) {
 			continue
 		}
 		cost := s.cost(now, q) + p.way(c, q) + tieBreak*random()
@@ -189,7 +192,7 @@
 }
 
 // takes reports whether the node is not known to refuse the request.
-func (s *state) takes(now time.Time, q Query, far bool) bool {
+func (s *state) takes(now time.Time, q Query, patience time.Duration, far bool) bool {
 	if now.Before(s.until) {
 		return false
 	}
@@ -200,17 +203,31 @@
 	if !s.load.Open || q.Repeat && s.load.Repeats < 1 || s.load.Ends > 0 && q.Left > s.load.Ends-age {
 		return false
 	}
-	if !s.load.Healthy() && (!q.Idempotent || q.Last || age < s.load.Trial || len(s.sent) > 0 || far && q.Patience == 0) {
+	if !s.load.Healthy() && (!q.Idempotent || q.Last || age < s.load.Trial || len(s.sent) > 0 || far && patience == 0) {
 		return false
 	}
 	further := len(s.sent)
-	if far && q.Patience == 0 {
+	if far && patience == 0 {
 		// Reports from afar are older, and a vain hop is dearer.
 		further++
 	}
-	return s.load.Wait(q.Priority, further) <= q.Patience
+	return s.load.Wait(q.Priority, further) <= patience
 }
 
+// patience returns how long the request may be expected to wait at a candidate. At home
+// it waits as long as the way to another data centre is worth, although others may
+// have a free slot.
+func (p *Picker) patience(c *Candidate, q Query) time.Duration {
+	if c.DataCentre != p.dataCentre {
+		return q.Patience
+	}
+	worth := time.Duration((otherDataCentre + bytesCost(q)) * float64(q.Objective))
+	return max(q.Patience, min(q.HomePatience, worth))
+}
+
+// bytesCost is the cost of the bytes of a request on the way between data centres.
+func bytesCost(q Query) float64 { return perKilobyte * float64(q.Bytes) / 1024 }
+
 func (s *state) cost(now time.Time, q Query) float64 {
 	loss := 1.0
 	if q.Idempotent && !q.Last {
@@ -249,7 +266,7 @@
 }
 
 func (p *Picker) way(c *Candidate, q Query) float64 {
-	bytes := perKilobyte * float64(q.AnswerBytes) / 1024
+	bytes := bytesCost(q)
 	switch {
 	case c.DataCentre == p.dataCentre:
 		return 0
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -114,3 +114,21 @@
 	p.Report(start, "far", used)
 	g.Expect(chosen(p, Query{Idempotent: true})).To(Equal("far"), "from another data centre")
 }
+
+// The pattern: full servers at home, free ones in another data centre, and answers or
+// uploads of several kB, whose bytes on the way there are dear. A request waits at home
+// as long as the way is worth, and no longer than it can.
+func TestAShortWaitAtHomeSparesTheWay(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	full := sound(6)
+	p.Report(start, "near", full)
+	p.Report(start, "far", sound(0))
+	g.Expect(chosen(p, Query{HomePatience: time.Second})).To(Equal("far"), "a small answer is worth no wait")
+	g.Expect(chosen(p, Query{HomePatience: time.Second, Bytes: 8 << 10})).To(Equal("near"))
+	g.Expect(chosen(p, Query{Bytes: 8 << 10})).To(Equal("far"), "without time to wait")
+
+	full.Waiting[0] = 12
+	p.Report(start, "near", full)
+	g.Expect(chosen(p, Query{HomePatience: 2 * time.Second, Bytes: 8 << 10})).To(Equal("far"), "a long wait")
+}
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -63,7 +63,7 @@
 		}
 		hops++
 		x.hops = append(x.hops, hopRecord{node: member.ID, sent: time.Since(x.started), choice: choice})
-		reply, err := x.send(ctx, member)
+		reply, err := x.send(ctx, member, choice)
 		next, answer := x.judge(ctx, member, reply, err)
 		if answer != nil {
 			last = answer
@@ -86,15 +86,16 @@
 	}
 	now := time.Now()
 	query := pick.Query{
-		Idempotent:  x.request.idempotent,
-		Priority:    x.request.priority,
-		Last:        x.attempts > 0 && x.attempts+1 >= x.route.MaxAttempts && x.route.MaxAttempts > 0,
-		Objective:   x.objective.Sub(x.started),
-		Patience:    x.patience(now),
-		Repeat:      x.arrivals > 0,
-		Left:        x.deadline.Sub(now),
-		AnswerBytes: e.sizes.of(x.route.ID),
-		Exclude:     func(id string) bool { _, tried := x.tried[id]; return tried },
+		Idempotent:   x.request.idempotent,
+		Priority:     x.request.priority,
+		Last:         x.attempts > 0 && x.attempts+1 >= x.route.MaxAttempts && x.route.MaxAttempts > 0,
+		Objective:    x.objective.Sub(x.started),
+		Patience:     x.patience(now),
+		HomePatience: x.fullPatience(now),
+		Repeat:       x.arrivals > 0,
+		Left:         x.deadline.Sub(now),
+		Bytes:        e.sizes.of(x.route.ID) + len(x.request.body),
+		Exclude:      func(id string) bool { _, tried := x.tried[id]; return tried },
 	}
 	choice, ok := e.picker.Choose(now, rand.Float64, pool.Candidates, query)
 	if !ok && x.startWaiting() {
@@ -141,7 +142,7 @@
 }
 
 // send runs one hop.
-func (x *exchange) send(ctx context.Context, member Member) (*hopReply, error) {
+func (x *exchange) send(ctx context.Context, member Member, choice pick.Choice) (*hopReply, error) {
 	e := x.entry
 	r := x.request
 	now := time.Now()
@@ -149,6 +150,10 @@
 	r.left = x.deadline.Sub(now)
 	r.objective = x.objective.Sub(now)
 	r.patience = x.patience(now)
+	if choice.Wait > 0 {
+		// The choice weighed a wait in the queue of this node.
+		r.patience = x.fullPatience(now)
+	}
 	r.repeat = x.arrivals > 0
 	x.request.first = false
 	if member.ID == e.settings.Node {
@@ -174,6 +179,11 @@
 	if !x.waiting {
 		return 0
 	}
+	return x.fullPatience(now)
+}
+
+// fullPatience returns how long the request may wait once it does.
+func (x *exchange) fullPatience(now time.Time) time.Duration {
 	patience := gate.PatienceOf(x.objective.Sub(now), x.deadline.Sub(now))
 	if end := x.view.StopAt; !end.IsZero() {
 		patience = min(patience, time.Duration(stopWaitShare*float64(end.Sub(now))))
