Give a new process a part of the retry allowance at once

Change: processes use 0.7 of the allowance, not 0.85, and have 0.3 at their start. The most that two of them, one after the other, spend in a window falls from 1.5 to 1.3 of the allowance (worked out), less what the ratio leaves.

Test: TestANewProcessHasSomeRepeatsAtOnce.

--- a/internal/gate/repeats.go
+++ b/internal/gate/repeats.go
@@ -10,14 +10,17 @@
 	Ratio float64
 	// Allowance is the part of this server in the repeats beyond the ratio.
 	Allowance float64
-	Window    time.Duration
+	// Start is the part of the allowance that a new process has at once.
+	Start  float64
+	Window time.Duration
 }
 
 // repeatBudget counts the requests and repeats of one server in a sliding window.
 type repeatBudget struct {
 	terms RepeatTerms
 	// started is the begin of the count. An earlier process may have spent the
-	// allowance, so it grows to its full size over the first window.
+	// allowance, so it grows to its full size over the first window, from the part
+	// that no process spends but at its start.
 	started time.Time
 	// fresh are the first attempts of requests, spent the repeats.
 	fresh, spent window
@@ -44,7 +47,8 @@
 	b.fresh.prune(from)
 	b.spent.prune(from)
 	grown := min(now.Sub(b.started).Seconds()/b.terms.Window.Seconds(), 1)
-	return max(int(b.terms.Ratio*b.fresh.sum()+b.terms.Allowance*grown-b.spent.sum()), 0)
+	allowance := max(b.terms.Allowance*grown, b.terms.Start)
+	return max(int(b.terms.Ratio*b.fresh.sum()+allowance-b.spent.sum()), 0)
 }
 
 // window holds weighted events in the order of their times.
--- a/internal/gate/repeats_test.go
+++ b/internal/gate/repeats_test.go
@@ -105,6 +105,26 @@
 	g.Expect(gate.Load(start.Add(time.Minute)).Repeats).To(Equal(10))
 }
 
+// The pattern: all processes of a fleet end at once and start again while a third of
+// the servers fails most of its work. Each of these servers fails a lookup or more
+// before its new node knows, and lookups that cannot be repeated fail the bookings that
+// made them. A service of eight servers with an allowance of 60 is to have a repeat for
+// two failures of each failing server at once, and at most what its earlier processes
+// leave of the allowance.
+func TestANewProcessHasSomeRepeatsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	const servers, allowance, used = 8, 60.0, 0.7
+	repeats := 0
+	for range servers {
+		gate := newOpen(6)
+		gate.SetRepeatTerms(RepeatTerms{Allowance: used * allowance / servers, Start: (1 - used) * allowance / servers, Window: 10 * time.Second})
+		repeats += gate.Load(start).Repeats
+		g.Expect(gate.Load(start.Add(20 * time.Second)).Repeats).To(Equal(5))
+	}
+	g.Expect(repeats).To(BeNumerically(">=", 2*servers/3.0))
+	g.Expect(float64(repeats)).To(BeNumerically("<=", (1-used)*allowance))
+}
+
 // The calls of a run that is a repeat are repeats at the services that it calls.
 func TestCallsOfRepeatsCount(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -217,15 +217,24 @@
 	return ids
 }
 
-// budgetMargin is the part of the retry budget that is used. The requests of a
-// window leave it before the repeats that they allowed.
-const budgetMargin = 0.85
+const (
+	// budgetMargin is the part of the retry ratio that is used. The requests of a
+	// window leave it before the repeats that they allowed.
+	budgetMargin = 0.85
+	// allowanceShare is the part of the retry allowance that a process uses, and
+	// startShare what it has at once: when all processes end, the servers fail a
+	// share of the first requests that no process knows of, and the next ones must
+	// not exceed the allowance together with the last.
+	allowanceShare = 0.7
+	startShare     = 1 - allowanceShare
+)
 
 // shareRepeats gives the gate its part of the service's retry budget.
 func (n *Node) shareRepeats(view *View) {
 	terms := gate.RepeatTerms{Ratio: n.settings.RetryRatio * budgetMargin, Window: n.settings.RetryWindow}
 	if pool := view.Services[n.settings.Service]; pool != nil && view.MembersKnown() {
-		terms.Allowance = n.settings.RetryAllowance * budgetMargin / float64(len(pool.Members))
+		part := n.settings.RetryAllowance / float64(len(pool.Members))
+		terms.Allowance, terms.Start = part*allowanceShare, part*startShare
 	}
 	n.gate.SetRepeatTerms(terms)
 }
