--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -12,9 +12,9 @@
 // loss is 1 for non-idempotent requests and LossIfRepeatable for others, which
 // can run again elsewhere. doubt drifts to the usual share of failing servers as
 // the report ages. wait is the expected time until a slot is free, counted from
-// the report and the requests sent since. A request that looks for a free slot may
-// still queue in its own data centre for as long as the way to another one is worth. way is the price of another data
-// centre or region, which rises with the sizes of body and answer.
+// the report and the requests sent since. way is the price of another data centre
+// or region, which rises with the sizes of body and answer. A request that looks
+// for a free slot may queue in its own data centre as long as the way is worth.
 //
 // A server that has failed is chosen no more while others have room, so nothing
 // would show that it is sound again. A server without a result for a while is
