--- a/internal/sidecar/hop_test.go
+++ b/internal/sidecar/hop_test.go
@@ -49,5 +49,6 @@
 		_, _ = decodeTerms(text)
 		_, _ = decodeReport(text)
 		_, _ = decodeRefusal(text)
+		decodeStateWanted(text)
 	})
 }
