--- a/internal/httpconn/doc.go
+++ b/internal/httpconn/doc.go
@@ -17,6 +17,8 @@
 //
 // # Limits
 //
-// Answers are read whole, up to MaxAnswer. HTTP/2 and protocol upgrades are not
-// supported.
+// Answers are read whole, up to MaxAnswer and what Request.Hold allows. What is no
+// body, with informational answers and trailers, is read up to MaxHead. Beyond a
+// bound the connection is closed at once and the answer counts as lost. HTTP/2 and
+// protocol upgrades are not supported.
 package httpconn
--- a/internal/limit/doc.go
+++ b/internal/limit/doc.go
@@ -1,3 +1,4 @@
-// Package limit bounds what clients can make a node hold: open connections,
-// request bodies in memory, and answers that are not read.
+// Package limit bounds what clients and servers can make a node hold: open
+// connections, bodies of requests and answers in memory, and answers that are not
+// read.
 package limit
