Renew reports before others hold them for old

Since a node of a data centre of 47 waited 0.23 s more than the second after which it renews an unchanged report, 1.28 s in all, and a report is old after 1.2 s. Data centres of up to ten nodes were not affected (1.1 s).

Change: the second counts from the last beacon. Test: TestReportsAreRenewedBeforeTheyAreOld.

--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -129,7 +129,7 @@
 func (b *beacons) run(ctx context.Context) {
 	var before gate.Load
 	var versions [2]uint64
-	var nextLocal, nextDigest time.Time
+	var lastLocal, nextDigest time.Time
 	changed := true
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -138,12 +138,12 @@
 		load := message.Reports[0].Load
 		trust := before.Open != load.Open || before.Healthy() != load.Healthy()
 		news := versions != [2]uint64{message.Version, message.Members}
-		if trust || news || changed && !now.Before(nextLocal) || now.Sub(nextLocal) >= refreshInterval {
+		if trust || news || !now.Before(localDue(lastLocal, len(view.near), changed)) {
 			b.sendTo(view.near, message)
 			b.onLoad()
 			before, changed = load, false
 			versions = [2]uint64{message.Version, message.Members}
-			nextLocal = now.Add(localPause(len(view.near)))
+			lastLocal = now
 		}
 		if trust {
 			message.PassOn = true
@@ -153,7 +153,7 @@
 			b.sendFar(view, b.digest(now, view), usualRelays)
 			nextDigest = now.Add(digestPause(1+len(view.near), rand.Float64()))
 		}
-		changed = b.wait(ctx, nextLocal, nextDigest, changed)
+		changed = b.wait(ctx, localDue(lastLocal, len(view.near), changed), nextDigest, changed)
 	}
 }
 
@@ -162,9 +162,6 @@
 func (b *beacons) wait(ctx context.Context, nextLocal, nextDigest time.Time, changed bool) bool {
 	sleep(ctx, minInterval)
 	next := nextLocal
-	if !changed {
-		next = next.Add(refreshInterval)
-	}
 	if nextDigest.Before(next) {
 		next = nextDigest
 	}
@@ -177,6 +174,15 @@
 	return changed
 }
 
+// localDue returns when a node sends its next beacon without a change of trust. It
+// renews its report before others hold it for old, whether the load has changed or not.
+func localDue(last time.Time, near int, changed bool) time.Time {
+	if changed {
+		return last.Add(min(localPause(near), refreshInterval))
+	}
+	return last.Add(refreshInterval)
+}
+
 // localPause returns the time between two beacons of a node without a change of
 // trust, with a number of other nodes in its data centre.
 func localPause(near int) time.Duration {
--- a/internal/sidecar/roster_test.go
+++ b/internal/sidecar/roster_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/tarragonford/tarragonford/internal/beacon"
 	"github.com/tarragonford/tarragonford/internal/registration"
 )
 
@@ -91,6 +92,19 @@
 	g.Expect(localPause(6)).To(Equal(minInterval))
 }
 
+// The pattern: nodes whose servers have left send the same report again and again. If it
+// grew old between two beacons, entries would try them for want of news.
+func TestReportsAreRenewedBeforeTheyAreOld(t *testing.T) {
+	g := NewWithT(t)
+	last := time.Now()
+	for _, near := range []int{2, 6, 22, 46, 99, 499} {
+		for _, changed := range []bool{false, true} {
+			due := localDue(last, near, changed).Add(minInterval)
+			g.Expect(due.Sub(last)).To(BeNumerically("<", beacon.MaxAge), "%d other nodes", near)
+		}
+	}
+}
+
 func BenchmarkHeartbeat(b *testing.B) {
 	for _, nodes := range []int{21, 98, 233, 500} {
 		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
