Log what a server says about itself in its answers

Cause: no log line or metric told which request rate a server names or that it announces its departure, so the hypotheses on the broken limit could not be told apart. Change: platform decodes both headers; the node beside the server logs a change of either, the host line names the entry of the request, and tarragon_server_rate_limit shows the rate. No request is treated differently. TestLogLinesHaveDocumentedFields passes.

--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -28,6 +28,8 @@
 	// minStall.
 	stallFactor = 4
 	minStall    = time.Second
+	// rateLimitScale converts requests per second to the unit of the metric.
+	rateLimitScale = 1000
 )
 
 // hopRequest is a request as its host receives it.
@@ -68,6 +70,8 @@
 	// onAddressTaken is called with the registered incarnation if another one answers at its
 	// address.
 	onAddressTaken func(registration.Incarnation)
+	// notice is what the server said about itself in its latest response; nil before the first.
+	notice atomic.Pointer[ServerNotice]
 	// loggedDoubtful tells whether the last log line about the server's health called it doubtful.
 	loggedDoubtful atomic.Bool
 }
@@ -145,6 +149,9 @@
 	evidence := h.evidence(ctx, response, err)
 	h.gate.Done(ended, ticket, evidence)
 	h.logHealthChange(r.id, evidence)
+	if err == nil && response.Status != http.StatusMisdirectedRequest {
+		h.processNotice(server, r, h.headers.ServerNotice(response.Header))
+	}
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
 		return refuse(gate.Closed, 0)
@@ -211,6 +218,22 @@
 		zap.Int("running", load.Running), zap.Ints("waiting", load.Waiting[:]))
 }
 
+// processNotice logs a change of what the server says about itself.
+func (h *host) processNotice(server registration.Server, r *hopRequest, notice ServerNotice) {
+	before := h.notice.Swap(&notice)
+	if before == nil {
+		before = &ServerNotice{}
+	}
+	if before.RateLimited != notice.RateLimited || before.RateLimit != notice.RateLimit {
+		h.telemetry.Metrics.ServerRateLimit.Set(int64(notice.RateLimit * rateLimitScale))
+		h.log.Info("server rate limit", zap.String("server", server.ID), zap.String("request", r.id),
+			zap.Bool("limited", notice.RateLimited), zap.Float64("per_second", notice.RateLimit), zap.Error(notice.Err))
+	}
+	if notice.Leaving && !before.Leaving {
+		h.log.Info("server announces its departure", zap.String("server", server.ID), zap.String("request", r.id))
+	}
+}
+
 func refuse(reason gate.Refusal, after time.Duration) *hopReply {
 	return &hopReply{refused: &refusal{reason: reason, after: after}}
 }
@@ -243,5 +266,6 @@
 		zap.Bool("repeat", r.retry),
 		zap.Int("repeats_left", reply.report.RetriesLeft),
 		zap.Uint64("entry_config", r.version),
+		zap.String("entry", r.inbound),
 		zap.Duration("took", now.Sub(r.arrived)))
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -77,6 +77,17 @@
 	Instance string
 }
 
+// ServerNotice is what a backend server says about itself in a response.
+type ServerNotice struct {
+	// RateLimited is set if the server limits the requests that it accepts. RateLimit is then the
+	// number per second from all nodes together, unless Err tells that it cannot be read.
+	RateLimited bool
+	RateLimit   float64
+	Err         error
+	// Leaving is set if the server is about to stop.
+	Leaving bool
+}
+
 // Headers reads and writes the headers of the platform's protocol between callers, nodes and
 // servers.
 type Headers interface {
@@ -90,6 +101,8 @@
 	Strip(h http.Header)
 	// NotRun reports whether a server response says that the request was not run.
 	NotRun(status int, h http.Header) bool
+	// ServerNotice returns what the server says about itself in a response.
+	ServerNotice(h http.Header) ServerNotice
 	// Signed reports whether a response originates from a backend server.
 	Signed(h http.Header) bool
 	// SetRetryAfter sets the time after which a refused request may be repeated.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -42,6 +42,9 @@
 	Hedges, HedgeWins Counter
 	// Dispatches counts requests that the host node sent to a backend server.
 	Dispatches Counter
+	// ServerRateLimit is the rate that the local backend server accepts, in requests per 1000 s;
+	// 0 if it names none.
+	ServerRateLimit Gauge
 	// LateAnswers counts responses dropped because nothing was waiting for them any more.
 	LateAnswers Counter
 	// WrongAnswers counts responses dropped because they carried the ID of another request.
