Keep the request rate that a server names, at its gate

Callers saw: a server in need got up to seven times the requests that it said it takes, and answered slowly. Cause: no part of the fleet read the limit; a server was sent requests by health, free slots and retry budget. The class of fault: a demand of the server that only its answers state, dropped at the boundary. Change: the gate beside the server, which every request to it passes, holds a token bucket at the named rate, so that it binds all nodes without messages, store or agreement. Reports carry its state: entries choose other servers, and refuse at once what all limits rule out. With the gate ignoring the bucket, TestRateLimitHoldsInAnyInterval and two others fail.

--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -20,6 +20,7 @@
 		Load: gate.Load{
 			Running: number("running"), Slots: number("slots"), FailureProbability: float64(rapid.IntRange(0, probabilityScale).Draw(t, "doubt")) / probabilityScale,
 			Service: ms("service"), TrialIn: ms("trial"), RetriesLeft: number("repeats"), StopsIn: ms("ends"), SinceLastResult: ms("quiet"),
+			RateInterval: ms("rate interval"), RateTokens: float64(number("tokens")),
 			Open: rapid.Bool().Draw(t, "open"), Cold: rapid.Bool().Draw(t, "cold"),
 		},
 	}}
--- a/internal/beacon/datagram.go
+++ b/internal/beacon/datagram.go
@@ -12,15 +12,17 @@
 	// MaxBytes bounds a datagram, so that it fits the usual MTU of a network.
 	MaxBytes = 1200
 	// maxReportBytes bounds the encoding of one report.
-	maxReportBytes = 78
+	maxReportBytes = 88
 	// probabilityScale is the number of steps in which a probability is encoded.
 	probabilityScale = 1000
+	// tokenScale is the number of steps in which a token of a rate limit is encoded.
+	tokenScale = 1000
 	// maxValue bounds the numbers of a report, so that none overflows.
 	maxValue = 1 << 31
 )
 
 // magic begins each datagram, so that datagrams of other protocols are rejected.
-var magic = [2]byte{'T', '3'}
+var magic = [2]byte{'T', '4'}
 
 // Flag bits of a report.
 const (
@@ -111,7 +113,8 @@
 		uint64(max(r.Age, 0).Milliseconds()), bits, uint64(r.Load.Running), uint64(r.Load.Slots),
 		uint64(r.Load.FailureProbability * probabilityScale), uint64(r.Load.Service.Milliseconds()),
 		uint64(r.Load.TrialIn.Milliseconds()), uint64(r.Load.RetriesLeft), uint64(r.Load.StopsIn.Milliseconds()),
-		uint64(r.Load.SinceLastResult.Milliseconds()),
+		uint64(r.Load.SinceLastResult.Milliseconds()), uint64(r.Load.RateInterval.Milliseconds()),
+		uint64(max(r.Load.RateTokens, 0) * tokenScale),
 	}
 	for _, waiting := range r.Load.Waiting {
 		numbers = append(numbers, uint64(waiting))
@@ -153,7 +156,7 @@
 	}
 	r.Node, r.Stamp = NodeHash(binary.BigEndian.Uint32(b)), binary.BigEndian.Uint32(b[4:])
 	b = b[8:]
-	var numbers [10 + gate.PriorityLevels]int
+	var numbers [12 + gate.PriorityLevels]int
 	for i := range numbers {
 		value, n := binary.Uvarint(b)
 		if n <= 0 || value > maxValue {
@@ -172,7 +175,9 @@
 		RetriesLeft:        numbers[7],
 		StopsIn:            time.Duration(numbers[8]) * time.Millisecond,
 		SinceLastResult:    time.Duration(numbers[9]) * time.Millisecond,
+		RateInterval:       time.Duration(numbers[10]) * time.Millisecond,
+		RateTokens:         float64(numbers[11]) / tokenScale,
 	}
-	copy(r.Load.Waiting[:], numbers[10:])
+	copy(r.Load.Waiting[:], numbers[12:])
 	return r, b, true
 }
--- a/internal/gate/doc.go
+++ b/internal/gate/doc.go
@@ -34,9 +34,20 @@
 // server makes counts as a fraction of a retry: the share of retries among the
 // requests that the server is running.
 //
+// # Rate limit
+//
+// A server in need names, in its responses, the requests per second that it accepts
+// from all nodes together. Since every request to it passes this gate, a token bucket
+// here keeps the limit without messages, whatever happens to the store and to other
+// nodes. The bucket begins empty and holds the requests of a short time. Requests that
+// it does not admit yet wait like those for a slot. The limit ends with a response that
+// names none, if its request was sent after the limit was named; other responses may
+// have been overtaken. Reports carry the state of the bucket, so entries choose other
+// servers meanwhile.
+//
 // # Slots
 //
-// A request runs if a slot is free. Otherwise it may wait, in the order of
+// A request runs if a slot is free and the rate limit admits it. Otherwise it may wait, in the order of
 // priority and then of the latency objective, if its expected wait is at most its
 // MaxWait. Every refusal means that the request has not run and will not run here.
 package gate
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -38,11 +38,13 @@
 	Busy
 	// RetryBudgetExhausted: the server has received all retries that the retry budget allows.
 	RetryBudgetExhausted
+	// RateLimited: the server gets as many requests per second as it accepts.
+	RateLimited
 )
 
 // String returns the name of the reason for logs.
 func (r Refusal) String() string {
-	return [...]string{"none", "closed", "doubtful", "busy", "spent"}[r]
+	return [...]string{"none", "closed", "doubtful", "busy", "spent", "rate-limited"}[r]
 }
 
 // Request describes a request that asks for a slot.
@@ -93,17 +95,34 @@
 // PriorityLevels is the number of priorities that a Load distinguishes.
 const PriorityLevels = 4
 
-// ExpectedWait returns the expected time until a request of the priority gets a slot. unreported is
-// the number of requests on their way that the load does not include yet.
-func (l Load) ExpectedWait(priority, unreported int) time.Duration {
-	ahead := l.Running + unreported + 1 - l.Slots
+// ExpectedWait returns the expected time until a request of the priority gets a slot and the rate
+// limit admits it. unreported is the number of requests on their way that the load, which has the
+// given age, does not include yet.
+func (l Load) ExpectedWait(priority, unreported int, age time.Duration) time.Duration {
+	ahead := l.Ahead(priority) + unreported
+	wait := l.RateWait(ahead, age)
+	if excess := l.Running + ahead + 1 - l.Slots; excess > 0 {
+		wait = max(wait, time.Duration(float64(excess)/float64(max(l.Slots, 1))*float64(l.Service)))
+	}
+	return wait
+}
+
+// Ahead returns the number of waiting requests that come before another one of the priority.
+func (l Load) Ahead(priority int) int {
+	ahead := 0
 	for level := 0; level <= min(priority, PriorityLevels-1); level++ {
 		ahead += l.Waiting[level]
 	}
-	if ahead <= 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / float64(max(l.Slots, 1)) * float64(l.Service))
+	return ahead
+}
+
+// RateLimited reports whether the server limits the rate of requests.
+func (l Load) RateLimited() bool { return l.RateInterval > 0 }
+
+// RateWait returns the time until the rate limit admits a request with a number of others ahead of
+// it, for a load of the given age.
+func (l Load) RateWait(ahead int, age time.Duration) time.Duration {
+	return max(rateWait(ahead, l.RateTokens, l.RateInterval)-age, 0)
 }
 
 // Load describes the server for the nodes that choose between servers.
@@ -125,6 +144,11 @@
 	TrialIn time.Duration
 	// RetriesLeft is the number of retries that the retry budget still allows.
 	RetriesLeft int
+	// RateInterval is the mean time between two requests at the rate that the server accepts; 0
+	// without a limit. RateTokens is the number of requests that may be sent at once, and the part
+	// of the interval that has passed towards the next one.
+	RateInterval time.Duration
+	RateTokens   float64
 	// SinceLastResult is the time since the last result that was evidence of the server's health.
 	SinceLastResult time.Duration
 	// StopsIn is the time until the node beside the server stops; 0 if it does not. Until then the
@@ -145,6 +169,8 @@
 	trial   bool
 	running bool
 	started time.Time
+	// waitUntil is the end of MaxWait.
+	waitUntil time.Time
 	// decision receives the outcome of the wait.
 	decision chan Refusal
 }
@@ -166,6 +192,9 @@
 	nextTrial    time.Time
 	serviceTime  time.Duration
 	retries      retryCounter
+	rate         rateLimit
+	// incarnationSince is when the gate opened for the current incarnation of the server.
+	incarnationSince time.Time
 	// runningRetries counts the retries among the running requests.
 	runningRetries int
 	// lastCallFailure is the time of the newest failed call of the server that has not yet
@@ -177,7 +206,10 @@
 // New returns a closed gate. onChange is called after each change of the load, with a lock held; it
 // must not call the gate.
 func New(now time.Time, onChange func()) *Gate {
-	return &Gate{health: NewHealthEstimate(now), serviceTime: initialServiceTime, onChange: onChange, retries: retryCounter{started: now}}
+	return &Gate{
+		health: NewHealthEstimate(now), serviceTime: initialServiceTime, onChange: onChange,
+		retries: retryCounter{started: now}, rate: rateLimit{burst: DefaultRateBurst},
+	}
 }
 
 // SetRetryBudget sets the part of this server in the retry budget.
@@ -206,6 +238,8 @@
 	if newIncarnation {
 		g.health = NewHealthEstimate(now)
 		g.trialRunning = false
+		g.incarnationSince = now
+		g.rate.lift()
 	}
 	g.open, g.slots, g.warmUntil = true, slots, warmUntil
 	g.admitWaiting(now)
@@ -250,21 +284,28 @@
 	if !allowed {
 		return nil, Unhealthy, max(g.nextTrial.Sub(now), trialPause)
 	}
-	ticket = &Ticket{request: request, trial: trial, order: g.order, decision: make(chan Refusal, 1)}
+	ticket = &Ticket{
+		request: request, trial: trial, order: g.order, decision: make(chan Refusal, 1), waitUntil: now.Add(request.MaxWait),
+	}
 	g.order++
-	if g.running < g.slots && len(g.waiting) == 0 {
+	if len(g.waiting) == 0 && g.mayStart(now) {
 		g.start(now, ticket)
 		return ticket, NotRefused, 0
 	}
-	wait := g.expectedWait(request)
+	wait, reason := g.expectedWait(now, request)
 	if trial || len(g.waiting) >= maxQueuePerSlot*g.slots || wait > request.MaxWait || request.MaxWait == 0 {
-		return nil, Busy, wait
+		return nil, reason, wait
 	}
 	g.insert(ticket)
 	g.onChange()
 	return ticket, NotRefused, 0
 }
 
+// mayStart reports whether a slot is free and the rate limit admits a request.
+func (g *Gate) mayStart(now time.Time) bool {
+	return g.running < g.slots && g.rate.wait(now, 0) == 0
+}
+
 // Running reports whether the request may be sent now.
 func (g *Gate) Running(t *Ticket) bool {
 	g.mu.Lock()
@@ -283,18 +324,23 @@
 	return true, true
 }
 
-// expectedWait returns the mean time until a slot is free for the request.
-func (g *Gate) expectedWait(request Request) time.Duration {
-	ahead := g.running - g.slots + 1
+// expectedWait returns the mean time until a slot is free for the request and the rate limit admits
+// it, and the reason for the wait.
+func (g *Gate) expectedWait(now time.Time, request Request) (time.Duration, Refusal) {
+	ahead := 0
 	for _, other := range g.waiting {
 		if !request.before(other.request) {
 			ahead++
 		}
 	}
-	if ahead <= 0 {
-		return 0
+	forSlot := time.Duration(0)
+	if excess := g.running + ahead + 1 - g.slots; excess > 0 {
+		forSlot = time.Duration(float64(excess) / float64(g.slots) * float64(g.serviceTime))
+	}
+	if forRate := g.rate.wait(now, ahead); forRate > forSlot {
+		return forRate, RateLimited
 	}
-	return time.Duration(float64(ahead) / float64(g.slots) * float64(g.serviceTime))
+	return forSlot, Busy
 }
 
 func (g *Gate) insert(ticket *Ticket) {
@@ -310,6 +356,7 @@
 	ticket.running = true
 	ticket.started = now
 	g.running++
+	g.rate.take(now)
 	if ticket.trial {
 		g.trialRunning = true
 	}
@@ -405,7 +452,7 @@
 			ticket.decision <- Unhealthy
 		case ticket.request.Retry && g.retries.remaining(now) < 1:
 			ticket.decision <- RetryBudgetExhausted
-		case g.running < g.slots:
+		case g.mayStart(now):
 			ticket.trial = trial
 			g.start(now, ticket)
 			ticket.decision <- NotRefused
@@ -424,7 +471,7 @@
 	for _, ticket := range g.waiting {
 		waiting[min(max(ticket.request.Priority, 0), PriorityLevels-1)]++
 	}
-	return Load{
+	load := Load{
 		Running:            g.running,
 		Waiting:            waiting,
 		Slots:              g.slots,
@@ -436,6 +483,10 @@
 		RetriesLeft:        g.retries.remaining(now),
 		SinceLastResult:    max(now.Sub(g.health.updatedAt), 0),
 	}
+	if g.rate.bucket != nil {
+		load.RateInterval, load.RateTokens = g.rate.interval(), g.rate.bucket.TokensAt(now)
+	}
+	return load
 }
 
 func (g *Gate) untilTrial(now time.Time) time.Duration {
--- /dev/null
+++ b/internal/gate/ratelimit.go
@@ -0,0 +1,141 @@
+package gate
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// DefaultRateBurst is the time whose share of a server's rate may be sent at once.
+	DefaultRateBurst = 500 * time.Millisecond
+	// minRate is the rate in requests per second that a server gets although it names a lower one:
+	// only responses show that it accepts more again.
+	minRate = 0.2
+)
+
+// rateLimit bounds the rate of the requests that a server gets, as the server itself demands in its
+// responses. All requests to a server pass its gate, so the limit holds for all nodes together.
+type rateLimit struct {
+	burst time.Duration
+	// bucket holds the requests that may be sent; nil without a limit.
+	bucket *rate.Limiter
+	// namedAt is the arrival of the newest response that named a rate.
+	namedAt time.Time
+}
+
+// set limits the rate from now on. A limit begins with an empty bucket, because the server has just
+// received more than it accepts.
+func (l *rateLimit) set(now time.Time, perSecond float64) {
+	l.namedAt = now
+	perSecond = max(perSecond, minRate)
+	burst := max(1, int(perSecond*l.burst.Seconds()))
+	if l.bucket == nil {
+		l.bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
+		l.bucket.ReserveN(now, burst)
+		return
+	}
+	l.bucket.SetLimitAt(now, rate.Limit(perSecond))
+	l.bucket.SetBurstAt(now, burst)
+}
+
+// lift ends the limit.
+func (l *rateLimit) lift() { l.bucket = nil }
+
+// take removes the request that starts now from the bucket.
+func (l *rateLimit) take(now time.Time) {
+	if l.bucket != nil {
+		l.bucket.ReserveN(now, 1)
+	}
+}
+
+// wait returns the time until the limit admits a request with a number of others ahead of it.
+func (l *rateLimit) wait(now time.Time, ahead int) time.Duration {
+	if l.bucket == nil {
+		return 0
+	}
+	return rateWait(ahead, l.bucket.TokensAt(now), l.interval())
+}
+
+// interval is the mean time between two requests; 0 without a limit.
+func (l *rateLimit) interval() time.Duration {
+	if l.bucket == nil {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / float64(l.bucket.Limit()))
+}
+
+// rateWait returns the time until a bucket that gains a token each interval has one for a request
+// with a number of others ahead of it.
+func rateWait(ahead int, tokens float64, interval time.Duration) time.Duration {
+	return max(time.Duration((float64(ahead+1)-tokens)*float64(interval)), 0)
+}
+
+// SetRateBurst sets the time whose share of a server's rate may be sent at once.
+func (g *Gate) SetRateBurst(burst time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rate.burst = burst
+}
+
+// LimitRate records that the response to a request names the number of requests per second that the
+// server accepts. Waiting requests that no longer can be sent in time are refused.
+func (g *Gate) LimitRate(now time.Time, answered *Ticket, perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if answered.started.Before(g.incarnationSince) {
+		return
+	}
+	g.rate.set(now, perSecond)
+	kept := g.waiting[:0]
+	for i, ticket := range g.waiting {
+		if now.Add(g.rate.wait(now, i)).After(ticket.waitUntil) {
+			ticket.decision <- RateLimited
+			continue
+		}
+		kept = append(kept, ticket)
+	}
+	g.waiting = kept
+	g.onChange()
+}
+
+// LiftRate records that the response to a request names no rate. The responses to requests that
+// were sent before a rate was named may have been overtaken by the one that named it, and change
+// nothing.
+func (g *Gate) LiftRate(now time.Time, answered *Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.rate.bucket == nil || !answered.started.After(g.rate.namedAt) {
+		return
+	}
+	g.rate.lift()
+	g.admitWaiting(now)
+	g.onChange()
+}
+
+// RateLimit returns the limit in force in requests per second; 0 if there is none.
+func (g *Gate) RateLimit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.rate.bucket == nil {
+		return 0
+	}
+	return float64(g.rate.bucket.Limit())
+}
+
+// UntilRateAdmits returns the time until the rate limit admits the first waiting request, and false
+// if it keeps none from being sent. AdmitWaiting is due then.
+func (g *Gate) UntilRateAdmits(now time.Time) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wait := g.rate.wait(now, 0)
+	return wait, g.rate.bucket != nil && g.running < g.slots
+}
+
+// AdmitWaiting admits the waiting requests that may be sent now.
+func (g *Gate) AdmitWaiting(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admitWaiting(now)
+	g.onChange()
+}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -154,7 +154,7 @@
 }
 
 func (s *nodeState) choice(now time.Time, q Query) Choice {
-	c := Choice{FailureProbability: usualFailureProbability, Service: s.load.Service, ExpectedWait: s.load.ExpectedWait(q.Priority, len(s.sent))}
+	c := Choice{FailureProbability: usualFailureProbability, Service: s.load.Service, ExpectedWait: s.load.ExpectedWait(q.Priority, len(s.sent), s.age(now))}
 	if !s.reported.IsZero() {
 		c.Known, c.Age = true, now.Sub(s.reported)
 		c.FailureProbability = s.failureProbability(now)
@@ -162,6 +162,9 @@
 	return c
 }
 
+// age is the age of the newest report.
+func (s *nodeState) age(now time.Time) time.Duration { return now.Sub(s.reported) }
+
 // failureProbability returns the reported probability, which drifts to the usual one as the report
 // ages.
 func (s *nodeState) failureProbability(now time.Time) float64 {
@@ -178,7 +181,7 @@
 		s := p.state(candidates[i].ID)
 		after := s.excludedUntil.Sub(now)
 		if s.load.Open {
-			after = max(after, s.load.ExpectedWait(gate.PriorityLevels, len(s.sent)))
+			after = max(after, s.load.ExpectedWait(gate.PriorityLevels, len(s.sent), s.age(now)))
 		}
 		if !s.load.Healthy() {
 			after = max(after, s.load.TrialIn)
@@ -188,6 +191,29 @@
 	return soonest
 }
 
+// RateLimitedFor returns the time for which the rate limits of all candidates that accept requests
+// keep out a request of the priority; 0 if one has no limit or has not reported lately.
+func (p *Picker) RateLimitedFor(now time.Time, candidates []Candidate, priority int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shortest := time.Duration(math.MaxInt64)
+	limited := false
+	for i := range candidates {
+		s := p.state(candidates[i].ID)
+		if s.age(now) > maxReportAge || s.load.Open && !s.load.RateLimited() {
+			return 0
+		}
+		if s.load.Open {
+			limited = true
+			shortest = min(shortest, s.load.RateWait(s.load.Ahead(priority)+len(s.sent), s.age(now)))
+		}
+	}
+	if !limited {
+		return 0
+	}
+	return shortest
+}
+
 func (p *Picker) state(id string) *nodeState {
 	s, ok := p.nodes[id]
 	if !ok {
@@ -222,7 +248,7 @@
 		// Reports from other data centres are older, and a refused hop costs more there.
 		unreported++
 	}
-	return s.load.ExpectedWait(q.Priority, unreported) <= maxWait
+	return s.load.ExpectedWait(q.Priority, unreported, age) <= maxWait
 }
 
 // maxWait returns how long the request may be expected to wait at a candidate: MaxWait, or longer
@@ -252,7 +278,7 @@
 		probability = s.failureProbability(now)
 		load.Running = int(float64(load.Running) * math.Exp(-age/loadDecayTime.Seconds()))
 	}
-	cost := loss*probability + s.loadCost(load, q)
+	cost := loss*probability + s.loadCost(load, q, s.age(now))
 	if load.Cold {
 		cost += coldCost
 	}
@@ -267,11 +293,11 @@
 }
 
 // loadCost returns the cost of the expected utilization and wait.
-func (s *nodeState) loadCost(load gate.Load, q Query) float64 {
+func (s *nodeState) loadCost(load gate.Load, q Query, age time.Duration) float64 {
 	utilization := min(float64(load.Running+len(s.sent)+1)/float64(max(load.Slots, 1)), 1)
 	cost := utilizationCost * utilization * utilization
 	if q.Objective > 0 {
-		cost += load.ExpectedWait(q.Priority, len(s.sent)).Seconds() / q.Objective.Seconds()
+		cost += load.ExpectedWait(q.Priority, len(s.sent), age).Seconds() / q.Objective.Seconds()
 	}
 	return cost
 }
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -53,7 +53,7 @@
 				x.entry.telemetry.Metrics.RetriesRefused.Inc()
 				break
 			}
-			if !x.waitForServer(ctx, waitUntil) {
+			if x.rateLimitsOutlast(waitUntil) || !x.waitForServer(ctx, waitUntil) {
 				break
 			}
 			continue
@@ -126,6 +126,17 @@
 	return true
 }
 
+// rateLimitsOutlast reports whether the rate limits of all servers keep the request out until a time.
+// Such a request is refused at once. Full and unhealthy servers may accept it sooner than expected.
+func (x *exchange) rateLimitsOutlast(until time.Time) bool {
+	pool := x.view.Services[x.service]
+	if pool == nil {
+		return false
+	}
+	now := time.Now()
+	return now.Add(x.entry.picker.RateLimitedFor(now, pool.Candidates, x.request.priority)).After(until)
+}
+
 // waitForServer pauses before the next attempt to find a server that accepts the request. It
 // returns false if there is no time left.
 func (x *exchange) waitForServer(ctx context.Context, until time.Time) bool {
@@ -237,7 +248,8 @@
 	case reply.refused != nil:
 		x.recordResult(reply.refused.reason.String())
 		e.picker.MarkRefused(now, member.ID, reply.refused.reason)
-		x.tried[member.ID] = reply.refused.reason != gate.Busy || x.queueing
+		mayQueue := reply.refused.reason == gate.Busy || reply.refused.reason == gate.RateLimited
+		x.tried[member.ID] = !mayQueue || x.queueing
 		return true, nil
 	case reply.response == nil:
 		x.recordResult("answer-lost")
--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -136,7 +136,7 @@
 		view := b.control.View()
 		message := b.loadDatagram(now, view)
 		load := message.Reports[0].Load
-		healthChanged := before.Open != load.Open || before.Healthy() != load.Healthy()
+		healthChanged := before.Open != load.Open || before.Healthy() != load.Healthy() || before.RateLimited() != load.RateLimited()
 		versionsChanged := versions != [2]uint64{message.Version, message.MembersVersion}
 		if healthChanged || versionsChanged || !now.Before(localDue(lastLocal, len(view.localPeers), changed)) {
 			b.sendTo(view.localPeers, message)
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -108,7 +108,8 @@
 	for _, waiting := range r.Waiting {
 		numbers = append(numbers, int64(waiting))
 	}
-	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastResult.Milliseconds())
+	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastResult.Milliseconds(),
+		r.RateInterval.Milliseconds(), int64(max(r.RateTokens, 0)*shareScale))
 	var text []byte
 	for i, n := range numbers {
 		if i > 0 {
@@ -119,7 +120,7 @@
 	return string(text)
 }
 
-const loadReportFields = 11 + gate.PriorityLevels
+const loadReportFields = 13 + gate.PriorityLevels
 
 func decodeLoadReport(text string) (loadReport, bool) {
 	fields := strings.Split(text, ";")
@@ -149,9 +150,12 @@
 	for i := range r.Waiting {
 		r.Waiting[i] = int(n[8+i])
 	}
-	r.RetriesLeft = int(n[loadReportFields-3])
-	r.StopsIn = time.Duration(n[loadReportFields-2]) * time.Millisecond
-	r.SinceLastResult = time.Duration(n[loadReportFields-1]) * time.Millisecond
+	last := n[8+gate.PriorityLevels:]
+	r.RetriesLeft = int(last[0])
+	r.StopsIn = time.Duration(last[1]) * time.Millisecond
+	r.SinceLastResult = time.Duration(last[2]) * time.Millisecond
+	r.RateInterval = time.Duration(last[3]) * time.Millisecond
+	r.RateTokens = float64(last[4]) / shareScale
 	return r, true
 }
 
@@ -175,7 +179,7 @@
 	reason, after, _ := strings.Cut(text, ";")
 	n, err := strconv.Atoi(reason)
 	ms, afterErr := strconv.ParseInt(after, 10, 64)
-	if err != nil || afterErr != nil || n < int(gate.Closed) || n > int(gate.RetryBudgetExhausted) {
+	if err != nil || afterErr != nil || n < int(gate.Closed) || n > int(gate.RateLimited) {
 		return refusal{}, false
 	}
 	return refusal{reason: gate.Refusal(n), after: time.Duration(ms) * time.Millisecond}, true
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	// minStall.
 	stallFactor = 4
 	minStall    = time.Second
+	// minRateWait bounds how often a waiting request checks the rate limit.
+	minRateWait = 5 * time.Millisecond
 	// rateLimitScale converts requests per second to the unit of the metric.
 	rateLimitScale = 1000
 )
@@ -70,8 +73,8 @@
 	// onAddressTaken is called with the registered incarnation if another one answers at its
 	// address.
 	onAddressTaken func(registration.Incarnation)
-	// notice is what the server said about itself in its latest response; nil before the first.
-	notice atomic.Pointer[ServerNotice]
+	// loggedRate holds the bits of the rate limit that was logged last.
+	loggedRate atomic.Uint64
 	// loggedDoubtful tells whether the last log line about the server's health called it doubtful.
 	loggedDoubtful atomic.Bool
 }
@@ -116,16 +119,24 @@
 // wait returns when the request may run, or the reason why it may not. Requests that were admitted
 // later may run first, so the actual wait needs a bound in addition to the expected one.
 func (h *host) wait(ctx context.Context, ticket *gate.Ticket, queueLimit time.Duration) gate.Refusal {
-	timer := time.NewTimer(queueLimit)
-	defer timer.Stop()
-	select {
-	case reason := <-ticket.Decision():
-		return reason
-	case <-timer.C:
-	case <-ctx.Done():
+	ctx, cancel := context.WithTimeout(ctx, queueLimit)
+	defer cancel()
+	for {
+		// The end of a run admits waiting requests, but nothing else tells when the rate limit does.
+		var rateAdmits <-chan time.Time
+		if wait, limited := h.gate.UntilRateAdmits(time.Now()); limited {
+			rateAdmits = time.After(max(wait, minRateWait))
+		}
+		select {
+		case reason := <-ticket.Decision():
+			return reason
+		case <-rateAdmits:
+			h.gate.AdmitWaiting(time.Now())
+		case <-ctx.Done():
+			h.gate.Cancel(time.Now(), ticket)
+			return gate.Busy
+		}
 	}
-	h.gate.Cancel(time.Now(), ticket)
-	return gate.Busy
 }
 
 // run sends the request to the server. server is the one registered at admission; if it has left
@@ -146,12 +157,13 @@
 	stall.Stop()
 	ended := time.Now()
 	h.telemetry.Metrics.ServerTime.Record(ended.Sub(started))
+	if err == nil && response.Status != http.StatusMisdirectedRequest {
+		// Before the end of the run, which may admit the next request.
+		h.processNotice(ended, server, ticket, r.id, h.headers.ServerNotice(response.Header))
+	}
 	evidence := h.evidence(ctx, response, err)
 	h.gate.Done(ended, ticket, evidence)
 	h.logHealthChange(r.id, evidence)
-	if err == nil && response.Status != http.StatusMisdirectedRequest {
-		h.processNotice(server, r, h.headers.ServerNotice(response.Header))
-	}
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
 		return refuse(gate.Closed, 0)
@@ -218,19 +230,25 @@
 		zap.Int("running", load.Running), zap.Ints("waiting", load.Waiting[:]))
 }
 
-// processNotice logs a change of what the server says about itself.
-func (h *host) processNotice(server registration.Server, r *hopRequest, notice ServerNotice) {
-	before := h.notice.Swap(&notice)
-	if before == nil {
-		before = &ServerNotice{}
+// processNotice applies what the server says about itself in its response to a request. An unreadable
+// rate leaves the previous one in force.
+func (h *host) processNotice(now time.Time, server registration.Server, ticket *gate.Ticket, request string, notice ServerNotice) {
+	switch {
+	case notice.Err != nil:
+		h.log.Warn("invalid rate limit", zap.String("server", server.ID), zap.String("request", request), zap.Error(notice.Err))
+	case notice.RateLimited:
+		h.gate.LimitRate(now, ticket, notice.RateLimit)
+	default:
+		h.gate.LiftRate(now, ticket)
 	}
-	if before.RateLimited != notice.RateLimited || before.RateLimit != notice.RateLimit {
-		h.telemetry.Metrics.ServerRateLimit.Set(int64(notice.RateLimit * rateLimitScale))
-		h.log.Info("server rate limit", zap.String("server", server.ID), zap.String("request", r.id),
-			zap.Bool("limited", notice.RateLimited), zap.Float64("per_second", notice.RateLimit), zap.Error(notice.Err))
+	perSecond := h.gate.RateLimit()
+	if before := h.loggedRate.Swap(math.Float64bits(perSecond)); before != math.Float64bits(perSecond) {
+		h.telemetry.Metrics.ServerRateLimit.Set(int64(perSecond * rateLimitScale))
+		h.log.Info("server rate limit", zap.String("server", server.ID), zap.String("request", request),
+			zap.Bool("limited", perSecond > 0), zap.Float64("per_second", perSecond))
 	}
-	if notice.Leaving && !before.Leaving {
-		h.log.Info("server announces its departure", zap.String("server", server.ID), zap.String("request", r.id))
+	if notice.Leaving && !h.control.View().Server.Leaving {
+		h.log.Info("server announces its departure", zap.String("server", server.ID), zap.String("request", request))
 	}
 }
 
