Let the first response after a restart decide the rate of a server

Callers saw: right after a node's restart, its server in need got as many requests as it has slots. Cause: the named rate is known to the process only; the requests that wait for a new process reach the server before it can name the rate again. The class of fault: a demand that binds longer than the process that heard it. Change: in a process that is not the first of the fleet, a server gets one request a second until its first response names a rate or none. No store and no peers are asked, so it holds without them.

--- a/internal/gate/doc.go
+++ b/internal/gate/doc.go
@@ -42,7 +42,9 @@
 // nodes. The bucket begins empty and holds the requests of a short time. Requests that
 // it does not admit yet wait like those for a slot. The limit ends with a response that
 // names none, if its request was sent after the limit was named; other responses may
-// have been overtaken. Reports carry the state of the bucket, so entries choose other
+// have been overtaken. After a restart of the node, a server gets one request a second
+// until its first response, since it may have named a rate to the process before.
+// Reports carry the state of the bucket, so entries choose other
 // servers meanwhile.
 //
 // # Slots
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -193,6 +193,8 @@
 	serviceTime  time.Duration
 	retries      retryCounter
 	rate         rateLimit
+	// rateUnknown is set if incarnations may have named a rate limit before this process started.
+	rateUnknown bool
 	// incarnationSince is when the gate opened for the current incarnation of the server.
 	incarnationSince time.Time
 	// runningRetries counts the retries among the running requests.
@@ -240,6 +242,9 @@
 		g.trialRunning = false
 		g.incarnationSince = now
 		g.rate.lift()
+		if g.rateUnknown {
+			g.rate.setProvisional()
+		}
 	}
 	g.open, g.slots, g.warmUntil = true, slots, warmUntil
 	g.admitWaiting(now)
--- a/internal/gate/ratelimit.go
+++ b/internal/gate/ratelimit.go
@@ -12,6 +12,9 @@
 	// minRate is the rate in requests per second that a server gets although it names a lower one:
 	// only responses show that it accepts more again.
 	minRate = 0.2
+	// provisionalRate, in requests per second, applies until the first response of a server that
+	// may have named a rate to an earlier process of the node.
+	provisionalRate = 1
 )
 
 // rateLimit bounds the rate of the requests that a server gets, as the server itself demands in its
@@ -20,17 +23,25 @@
 	burst time.Duration
 	// bucket holds the requests that may be sent; nil without a limit.
 	bucket *rate.Limiter
-	// namedAt is the arrival of the newest response that named a rate.
+	// namedAt is the arrival of the newest response that named a rate; zero if none has.
 	namedAt time.Time
 }
 
+// setProvisional limits the rate of a server whose own limit is not known yet. The first request may
+// be sent at once.
+func (l *rateLimit) setProvisional() {
+	l.namedAt = time.Time{}
+	l.bucket = rate.NewLimiter(provisionalRate, 1)
+}
+
 // set limits the rate from now on. A limit begins with an empty bucket, because the server has just
 // received more than it accepts.
 func (l *rateLimit) set(now time.Time, perSecond float64) {
+	known := l.bucket != nil && !l.namedAt.IsZero()
 	l.namedAt = now
 	perSecond = max(perSecond, minRate)
 	burst := max(1, int(perSecond*l.burst.Seconds()))
-	if l.bucket == nil {
+	if !known {
 		l.bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
 		l.bucket.ReserveN(now, burst)
 		return
@@ -71,6 +82,14 @@
 	return max(time.Duration((float64(ahead+1)-tokens)*float64(interval)), 0)
 }
 
+// AwaitRateLimit notes that an earlier process of the node may have received a rate limit that this
+// one does not know. Until a server has responded, it gets few requests.
+func (g *Gate) AwaitRateLimit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rateUnknown = true
+}
+
 // SetRateBurst sets the time whose share of a server's rate may be sent at once.
 func (g *Gate) SetRateBurst(burst time.Duration) {
 	g.mu.Lock()
--- a/internal/gate/ratelimit_test.go
+++ b/internal/gate/ratelimit_test.go
@@ -157,3 +157,36 @@
 	g.Expect(after).To(Equal(5 * time.Second))
 	runOnce(t, gate, start.Add(after))
 }
+
+// Guards against a node that, after its restart, sends a server all the requests that wait for it
+// before the server can name its rate again.
+func TestAfterARestartTheFirstResponseDecidesTheRate(t *testing.T) {
+	for name, respond := range map[string]struct {
+		answer   func(g *Gate, now time.Time, ticket *Ticket)
+		admitted int
+	}{
+		"no limit": {func(g *Gate, now time.Time, ticket *Ticket) { g.LiftRate(now, ticket) }, 6},
+		"a limit":  {func(g *Gate, now time.Time, ticket *Ticket) { g.LimitRate(now, ticket, 10) }, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			gate := New(start, func() {})
+			gate.AwaitRateLimit()
+			gate.Open(start, 6, time.Time{}, true)
+			first := runOnce(t, gate, start)
+			_, refusal, _ := gate.Admit(start, Request{Idempotent: true})
+			g.Expect(refusal).To(Equal(RateLimited))
+			now := start.Add(200 * time.Millisecond)
+			respond.answer(gate, now, first)
+			gate.Done(now, first, Success)
+			now = now.Add(100 * time.Millisecond)
+			admitted := 0
+			for range 10 {
+				if _, refusal, _ := gate.Admit(now, Request{Idempotent: true}); refusal == NotRefused {
+					admitted++
+				}
+			}
+			g.Expect(admitted).To(Equal(respond.admitted))
+		})
+	}
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -99,6 +99,7 @@
 	n.control = NewControlLoop(self, n.onStateChange)
 	if !s.FirstStart {
 		n.control.state.registry.AwaitDepartures()
+		n.gate.AwaitRateLimit()
 	}
 	n.picker = pick.New(s.DataCentre, s.Region)
 	n.splitter = route.NewSplitter()
