End the use of a server that announces its departure in an answer

Callers saw: requests that a leaving server, whose report did not reach its node, took and could not finish. Cause: a departure was read from the server's reports only; what its answers say was passed on and ignored. The same class of fault as the rate limit: a demand of the server that only its answers state. Change: an answer with the announcement marks the incarnation as departed, as a report does: the gate closes, and the departure is saved for the next process of the node.

--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -150,8 +150,8 @@
 	return true
 }
 
-// MarkDeparted records the departure of the current incarnation after its address turned out to
-// belong to another one.
+// MarkDeparted records the departure of the current incarnation after its responses showed that it
+// is leaving, or that its address belongs to another one.
 func (r *Registry) MarkDeparted(incarnation Incarnation) {
 	if r.known && r.current.Incarnation == incarnation {
 		r.current.Leaving = true
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -73,6 +73,8 @@
 	// onAddressTaken is called with the registered incarnation if another one answers at its
 	// address.
 	onAddressTaken func(registration.Incarnation)
+	// onLeaving is called with the registered incarnation if it says that it is about to stop.
+	onLeaving func(registration.Incarnation)
 	// loggedRate holds the bits of the rate limit that was logged last.
 	loggedRate atomic.Uint64
 	// loggedDoubtful tells whether the last log line about the server's health called it doubtful.
@@ -249,6 +251,7 @@
 	}
 	if notice.Leaving && !h.control.View().Server.Leaving {
 		h.log.Info("server announces its departure", zap.String("server", server.ID), zap.String("request", request))
+		h.onLeaving(server.Incarnation)
 	}
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -123,7 +123,7 @@
 		onVersion: n.onPeerVersion, sizes: responseSizes{mean: map[string]float64{}},
 		host: &host{
 			control: n.control, gate: n.gate, pool: n.servers, headers: deps.Headers, addr: s.ServerAddr,
-			log: n.log, telemetry: deps.Telemetry, onAddressTaken: n.forgetServer,
+			log: n.log, telemetry: deps.Telemetry, onAddressTaken: n.forgetServer, onLeaving: n.markDeparted,
 		},
 	}
 	n.beacons.self, n.beacons.control, n.beacons.gate, n.beacons.picker = self, n.control, n.gate, n.picker
@@ -274,6 +274,11 @@
 // forgetServer drops a server incarnation whose address is used by another one.
 func (n *Node) forgetServer(incarnation registration.Incarnation) {
 	n.log.Warn("another server has the address", zap.String("server", incarnation.ID))
+	n.markDeparted(incarnation)
+}
+
+// markDeparted records the departure of a server incarnation. It does not wait for the change.
+func (n *Node) markDeparted(incarnation registration.Incarnation) {
 	n.control.pending <- func(s *state) { s.registry.MarkDeparted(incarnation) }
 }
 
