Show the rate limits of servers in metrics, reasons and explanations

Cause: a request refused because of a server's rate looked like any other one without a server, and a refusal without hops named no node from which its cause could be found. Change: tarragon_rate_limited counts such refusals, their reason says so, and tarragonctl explain shows the limits in force of the servers on the path or, for a refusal, of the service. Measured: TestRefusalIsTracedToTheRateLimitsOfServers failed without the lines of servers off the path, and passes; tests of explain, telemetry, sidecar and architecture pass.

--- a/cmd/tarragon-sidecar/main.go
+++ b/cmd/tarragon-sidecar/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
@@ -32,10 +33,11 @@
 
 // options are the flags of the command.
 type options struct {
-	Config      string `long:"config" description:"settings file (default: the path given by the platform)"`
-	CheckConfig bool   `long:"check-config" description:"check the settings file and exit"`
-	LogLevel    string `long:"log-level" description:"debug, info, warn or error" default:"info"`
-	Version     bool   `long:"version" description:"print the version and exit"`
+	Config      string        `long:"config" description:"settings file (default: the path given by the platform)"`
+	CheckConfig bool          `long:"check-config" description:"check the settings file and the flags, and exit"`
+	LogLevel    string        `long:"log-level" description:"debug, info, warn or error" default:"info"`
+	RateBurst   time.Duration `long:"rate-burst" description:"time whose share of the rate that the server accepts may be sent at once, up to 2s (default: 500ms)"`
+	Version     bool          `long:"version" description:"print the version and exit"`
 }
 
 func main() {
@@ -55,6 +57,11 @@
 		fmt.Fprintln(os.Stderr, program+":", err)
 		os.Exit(cli.ExitUsage)
 	}
+	config.RateBurst = o.RateBurst
+	if err := config.Check(); err != nil {
+		fmt.Fprintln(os.Stderr, program+":", err)
+		os.Exit(cli.ExitUsage)
+	}
 	if o.CheckConfig {
 		fmt.Println("the settings are valid")
 		return
@@ -115,5 +122,7 @@
 	}
 	// FirstStart does not apply to a running process, so a difference is ignored.
 	next.FirstStart = config.FirstStart
+	// RateBurst is a flag.
+	next.RateBurst = config.RateBurst
 	log.Info("reload", zap.Bool("changed_for_next_start", next != config))
 }
--- a/internal/explain/doc.go
+++ b/internal/explain/doc.go
@@ -6,7 +6,8 @@
 //
 // The lines that name the request are selected first. Added to them are the lines
 // that may explain its outcome: the last trust change of the server on each node of
-// its path, a call made by that server that failed shortly before the request did,
+// its path, the rate limits of those servers (for a refused request, of all servers
+// of its service), a call made by that server that failed shortly before the request did,
 // and the stops, lost dependencies and configuration changes of the nodes on its path
 // within EventWindow before it.
 //
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -60,6 +60,11 @@
 	Peer     string    `json:"peer"`
 	Leaving  bool      `json:"leaving"`
 	Server   string    `json:"server"`
+	// ServerService is the service of the server beside a node that started.
+	ServerService string `json:"server_service"`
+	// PerSecond is the rate that a server accepts, if Limited is set.
+	Limited   bool    `json:"limited"`
+	PerSecond float64 `json:"per_second"`
 	// Dependency is the platform dependency that was lost or regained.
 	Dependency string `json:"dependency"`
 }
@@ -144,14 +149,21 @@
 	for _, hop := range line.Hops {
 		nodes[hop.Node] = true
 	}
+	// A refused request need not have reached any node: the limits of the servers were known.
+	limiting := map[string]bool{}
 	var found []Line
-	trustChanges := map[string]Line{}
+	trustChanges, rateChanges := map[string]Line{}, map[string]Line{}
 	for _, other := range l.Lines {
 		if other.Time.After(line.Time) {
 			break
 		}
 		age := line.Time.Sub(other.Time)
+		if line.Message == "request" && line.Code != 0 && other.Message == "started" && other.ServerService == line.Service {
+			limiting[other.Node] = true
+		}
 		switch {
+		case other.Message == "server rate limit" && (nodes[other.Node] || limiting[other.Node]):
+			rateChanges[other.Node] = other
 		case !nodes[other.Node]:
 		case other.Message == "server doubtful" || other.Message == "server trusted":
 			trustChanges[other.Node] = other
@@ -165,6 +177,11 @@
 	for _, other := range trustChanges {
 		found = append(found, other)
 	}
+	for _, other := range rateChanges {
+		if other.Limited || line.Time.Sub(other.Time) <= EventWindow {
+			found = append(found, other)
+		}
+	}
 	return found
 }
 
@@ -177,7 +194,7 @@
 // its node.
 func isNodeEvent(line Line) bool {
 	switch line.Message {
-	case "started", "stopping", "stopped", "server", "configuration in force", "dependency lost", "dependency regained", "ready":
+	case "started", "stopping", "stopped", "server", "server announces its departure", "configuration in force", "dependency lost", "dependency regained", "ready":
 		return true
 	}
 	return false
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -66,6 +66,19 @@
 	g.Expect(text).To(ContainSubstring("to host, no load report: lost after 9 ms"))
 }
 
+// A request is refused at once because all servers of its service get as many requests as they
+// accept. Guards against an explanation without those servers, which the request never reached.
+func TestRefusalIsTracedToTheRateLimitsOfServers(t *testing.T) {
+	g := NewWithT(t)
+	text := explained(g, read(g,
+		line("01.000", "host", "started", `"server_service":"bookings"`), line("01.000", "other", "started", `"server_service":"stock"`),
+		line("02.000", "host", "server rate limit", `"server":"i-1","request":"r0","limited":true,"per_second":2.3`),
+		line("02.000", "other", "server rate limit", `"server":"i-2","request":"r9","limited":true,"per_second":7`),
+		line("09.000", "entry", "request", `"request":"r1","target_service":"bookings","status":503,"code":1004,"reason":"limited"`)), "r1")
+	g.Expect(text).To(ContainSubstring("host                   server accepts 2.3 requests/s since request r0"))
+	g.Expect(text).NotTo(ContainSubstring("r9"))
+}
+
 func TestTextAroundLogLinesIsSkipped(t *testing.T) {
 	g := NewWithT(t)
 	log := read(g, "  1.25 node-1 "+line("05.000", "entry", "request", `"request":"r1","status":200`)+"\nno line\n{broken\n"+
--- a/internal/explain/write.go
+++ b/internal/explain/write.go
@@ -61,6 +61,11 @@
 			text += " of " + line.Request
 		}
 		return text
+	case "server rate limit":
+		if !line.Limited {
+			return "server accepts any rate"
+		}
+		return fmt.Sprintf("server accepts %.3g requests/s since request %s", line.PerSecond, line.Request)
 	case "configuration in force":
 		return fmt.Sprintf("%s: version %d", line.Message, line.Version)
 	case "server":
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -53,7 +53,7 @@
 				x.entry.telemetry.Metrics.RetriesRefused.Inc()
 				break
 			}
-			if x.rateLimitsOutlast(waitUntil) || !x.waitForServer(ctx, waitUntil) {
+			if x.rateLimited = x.rateLimitsOutlast(waitUntil); x.rateLimited || !x.waitForServer(ctx, waitUntil) {
 				break
 			}
 			continue
@@ -333,6 +333,9 @@
 		e.fail(w, x, codes.AnswerLost.New("the request was sent to a server, but its response was lost"), 0)
 	case ctx.Err() != nil:
 		e.fail(w, x, codes.NoServer.New("no server accepted the request in time"), minRetryAfter)
+	case x.rateLimited:
+		e.telemetry.Metrics.RateLimited.Inc()
+		e.fail(w, x, codes.NoServer.New("the servers of service %s get as many requests per second as they accept", x.service), x.retryAfter())
 	default:
 		e.fail(w, x, codes.NoServer.New("no server of service %s accepts the request", x.service), x.retryAfter())
 	}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -69,6 +69,8 @@
 	tried map[string]bool
 	// queueing is set once nodes may put the request into their queue.
 	queueing bool
+	// rateLimited is set if the rates that the servers accept keep the request out for too long.
+	rateLimited bool
 	// hops are the nodes that were asked, for the log.
 	hops []hopRecord
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -265,6 +265,9 @@
 	switch {
 	case reply.refused != nil:
 		result, code = "refused-"+reply.refused.reason.String(), codes.NoServer.Number
+		if reply.refused.reason == gate.RateLimited {
+			h.telemetry.Metrics.RateLimited.Inc()
+		}
 	case reply.response == nil:
 		result, code = "lost", codes.AnswerLost.Number
 	default:
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -94,6 +94,9 @@
 	n := &Node{deps: deps, settings: s, log: deps.Telemetry.Log}
 	n.beacons = &beacons{dirty: make(chan struct{}, 1), table: beacon.NewTable()}
 	n.gate = gate.New(time.Now(), n.beacons.requestBeacon)
+	if s.RateBurst > 0 {
+		n.gate.SetRateBurst(s.RateBurst)
+	}
 	n.lifetime, n.cancel = context.WithCancel(context.Background())
 	self := Member{ID: s.Node, Addr: s.Inbound, Beacon: s.Beacon, DataCentre: s.DataCentre, Region: s.Region, Service: s.Service}
 	n.control = NewControlLoop(self, n.onStateChange)
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -42,8 +42,15 @@
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// RateBurst is the time whose share of the rate that the server accepts may be sent at once; 0
+	// for gate.DefaultRateBurst.
+	RateBurst time.Duration
 }
 
+// maxRateBurst bounds Settings.RateBurst. A longer one would let more requests through at once than
+// a server in need can be expected to queue.
+const maxRateBurst = 2 * time.Second
+
 // Check returns the first invalid setting as an error.
 func (s Settings) Check() error {
 	for name, addr := range map[string]string{
@@ -63,6 +70,8 @@
 		return trace.BadParameter("the stop limit must be above 0")
 	case s.RetryRatio < 0 || s.RetryAllowance < 0 || s.RetryWindow <= 0:
 		return trace.BadParameter("the retry budget needs a window above 0 and bounds that are not negative")
+	case s.RateBurst < 0 || s.RateBurst > maxRateBurst:
+		return trace.BadParameter("the rate burst must be between 0 and %v", maxRateBurst)
 	}
 	return nil
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -45,6 +45,9 @@
 	// ServerRateLimit is the rate that the local backend server accepts, in requests per 1000 s;
 	// 0 if it names none.
 	ServerRateLimit Gauge
+	// RateLimited counts requests that were refused because of the rates that backend servers accept,
+	// at the node beside the server or at once at the entry node.
+	RateLimited Counter
 	// LateAnswers counts responses dropped because nothing was waiting for them any more.
 	LateAnswers Counter
 	// WrongAnswers counts responses dropped because they carried the ID of another request.
