Let entries name the departures that they have passed on

Callers saw: a request that a server took although the node of the caller had passed on, seconds before, that this server leaves. The class of fault: a server that had left is in use again after a restart. Change: a reply with an announcement names the incarnation, and the entry names it to that node with each later hop; the node marks it as departed before it runs anything. No store is needed, and a new incarnation is not affected.

--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -168,6 +168,7 @@
 	}
 	r.retry = x.deliveries > 0
 	x.request.firstHop = false
+	r.departed = e.departures.of(member.ID)
 	if member.ID == e.settings.Node {
 		return e.host.serve(ctx, &r), nil
 	}
@@ -176,6 +177,9 @@
 	e.headers.Strip(header)
 	stripHopHeaders(header)
 	header[headerHop] = []string{r.encode()}
+	if r.departed != nil {
+		header[headerDeparted] = []string{encodeIncarnation(*r.departed)}
+	}
 	response, err := e.peers.do(ctx, member.Addr, &httpconn.Request{
 		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, ID: r.id, Reservation: r.responseMemory,
 	})
@@ -205,7 +209,7 @@
 }
 
 func decodeReply(response *httpconn.Response) *hopReply {
-	reply := &hopReply{}
+	reply := &hopReply{departed: decodeIncarnation(response.Header.Get(headerDeparted))}
 	reply.report, reply.hasReport = decodeLoadReport(response.Header.Get(headerLoad))
 	if text := response.Header.Get(headerRefused); text != "" {
 		if refused, ok := decodeRefusal(text); ok {
@@ -232,6 +236,9 @@
 		}
 		e.onVersion(reply.report.version, member.Addr)
 	}
+	if reply != nil && reply.departed != nil {
+		e.departures.record(member.ID, *reply.departed)
+	}
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
 		x.recordResult("unreachable")
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -33,17 +33,19 @@
 
 // entry serves the requests of callers.
 type entry struct {
-	settings  Settings
-	control   *ControlLoop
-	host      *host
-	picker    *pick.Picker
-	splitter  *route.Splitter
-	sizes     responseSizes
-	peers     *peerClient
-	headers   Headers
-	log       *zap.Logger
-	telemetry *telemetry.Telemetry
-	bodies    *limit.BodyMemory
+	settings Settings
+	control  *ControlLoop
+	host     *host
+	picker   *pick.Picker
+	splitter *route.Splitter
+	sizes    responseSizes
+	// departures are the departures of servers that the entry has passed on.
+	departures *departures
+	peers      *peerClient
+	headers    Headers
+	log        *zap.Logger
+	telemetry  *telemetry.Telemetry
+	bodies     *limit.BodyMemory
 	// onVersion is called with the configuration version of another node.
 	onVersion func(version uint64, inbound string)
 }
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -24,6 +24,9 @@
 	// headerFailed tells that the request was sent to the server but no complete response was
 	// received.
 	headerFailed = "T-Failed"
+	// headerDeparted names the server incarnation beside a node that announced its departure: in a
+	// reply, the one that responded; in a hop, the last one that the entry knows of.
+	headerDeparted = "T-Departed"
 	// headerState marks a request for the state of a node instead of a hop; its value is an
 	// encoded stateRequest.
 	headerState = "T-State"
@@ -187,7 +190,7 @@
 
 // stripHopHeaders removes the headers of a hop, so that neither callers nor servers can set them.
 func stripHopHeaders(h http.Header) {
-	for _, name := range []string{headerHop, headerLoad, headerRefused, headerFailed, headerState, headerTarget} {
+	for _, name := range []string{headerHop, headerLoad, headerRefused, headerFailed, headerDeparted, headerState, headerTarget} {
 		delete(h, name)
 	}
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -46,6 +46,9 @@
 	body   []byte
 	// responseMemory accounts for the memory of the response.
 	responseMemory *limit.Reservation
+	// departed is the last server incarnation beside the host that announced its departure to the
+	// entry; nil if none has.
+	departed *registration.Incarnation
 	// arrived is the time that the durations in hopMetadata are relative to.
 	arrived time.Time
 }
@@ -56,6 +59,8 @@
 	response *httpconn.Response
 	refused  *refusal
 	failed   string
+	// departed is the server incarnation that responded, if it announced its departure.
+	departed *registration.Incarnation
 	report   loadReport
 	// hasReport tells whether the host reported its load.
 	hasReport bool
@@ -96,6 +101,11 @@
 
 func (h *host) admit(ctx context.Context, r *hopRequest) *hopReply {
 	view := h.control.View()
+	if r.departed != nil && view.Server.Incarnation == *r.departed && !view.Server.Leaving {
+		h.log.Info("server announced its departure earlier", zap.String("server", view.Server.ID), zap.String("request", r.id))
+		h.onLeaving(view.Server.Incarnation)
+		return refuse(gate.Closed, 0)
+	}
 	if !view.accepts(time.Now(), time.Until(r.arrived.Add(r.remaining))) || view.Server.ID == "" || view.Server.Leaving || view.Server.Unconfirmed {
 		return refuse(gate.Closed, 0)
 	}
@@ -159,9 +169,14 @@
 	stall.Stop()
 	ended := time.Now()
 	h.telemetry.Metrics.ServerTime.Record(ended.Sub(started))
+	var departed *registration.Incarnation
 	if err == nil && response.Status != http.StatusMisdirectedRequest {
+		notice := h.headers.ServerNotice(response.Header)
+		if notice.Leaving {
+			departed = &server.Incarnation
+		}
 		// Before the end of the run, which may admit the next request.
-		h.processNotice(ended, server, ticket, r.id, h.headers.ServerNotice(response.Header))
+		h.processNotice(ended, server, ticket, r.id, notice)
 	}
 	evidence := h.evidence(ctx, response, err)
 	h.gate.Done(ended, ticket, evidence)
@@ -175,7 +190,7 @@
 		h.onAddressTaken(server.Incarnation)
 	}
 	stripHopHeaders(response.Header)
-	return &hopReply{response: response}
+	return &hopReply{response: response, departed: departed}
 }
 
 func (h *host) newServerRequest(server registration.Server, r *hopRequest) *httpconn.Request {
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -47,6 +47,7 @@
 	request := &hopRequest{
 		hopMetadata: metadata, id: h.headers.RequestID(r.Header), method: r.Method, target: originalTarget(r),
 		host: r.Host, header: r.Header, body: body, responseMemory: h.bodies.NewReservation(), arrived: arrived,
+		departed: decodeIncarnation(r.Header.Get(headerDeparted)),
 	}
 	defer request.responseMemory.Release()
 	if metadata.service != h.service {
@@ -74,6 +75,9 @@
 		forward.CopyEndToEnd(header, reply.response.Header)
 		status, body = reply.response.Status, reply.response.Body
 	}
+	if reply.departed != nil {
+		header[headerDeparted] = []string{encodeIncarnation(*reply.departed)}
+	}
 	if reply.hasReport {
 		header[headerLoad] = []string{reply.report.encode()}
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -123,7 +123,7 @@
 	n.entry = &entry{
 		settings: s, control: n.control, picker: n.picker, splitter: n.splitter, peers: n.peers,
 		headers: deps.Headers, log: n.log, telemetry: deps.Telemetry, bodies: n.bodies,
-		onVersion: n.onPeerVersion, sizes: responseSizes{mean: map[string]float64{}},
+		onVersion: n.onPeerVersion, sizes: responseSizes{mean: map[string]float64{}}, departures: newDepartures(),
 		host: &host{
 			control: n.control, gate: n.gate, pool: n.servers, headers: deps.Headers, addr: s.ServerAddr,
 			log: n.log, telemetry: deps.Telemetry, onAddressTaken: n.forgetServer, onLeaving: n.markDeparted,
@@ -400,7 +400,9 @@
 			n.servers.Prune(now)
 			n.deps.Telemetry.LogSuppressedLines()
 			members := n.control.View().Members
-			n.picker.Retain(func(id string) bool { _, ok := members[id]; return ok })
+			isMember := func(id string) bool { _, ok := members[id]; return ok }
+			n.picker.Retain(isMember)
+			n.entry.departures.retain(isMember)
 		}
 	}
 }
