Admit queued requests whose server names a rate meanwhile

Change: a waiting request looks when the bucket has a token, and at least every 100 ms; the look does nothing without a limit. Rates above a million a second are taken as that, since a float that large does not fit the burst.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -194,7 +194,7 @@
 // its node.
 func isNodeEvent(line Line) bool {
 	switch line.Message {
-	case "started", "stopping", "stopped", "server", "server announces its departure", "configuration in force", "dependency lost", "dependency regained", "ready":
+	case "started", "stopping", "stopped", "server", "server announces its departure", "server announced its departure earlier", "configuration in force", "dependency lost", "dependency regained", "ready":
 		return true
 	}
 	return false
--- a/internal/gate/ratelimit.go
+++ b/internal/gate/ratelimit.go
@@ -12,6 +12,8 @@
 	// minRate is the rate in requests per second that a server gets although it names a lower one:
 	// only responses show that it accepts more again.
 	minRate = 0.2
+	// maxRate is the highest rate in requests per second that is counted; a server has far less.
+	maxRate = 1e6
 	// provisionalRate, in requests per second, applies until the first response of a server that
 	// may have named a rate to an earlier process of the node.
 	provisionalRate = 1
@@ -39,7 +41,7 @@
 func (l *rateLimit) set(now time.Time, perSecond float64) {
 	known := l.bucket != nil && !l.namedAt.IsZero()
 	l.namedAt = now
-	perSecond = max(perSecond, minRate)
+	perSecond = min(max(perSecond, minRate), maxRate)
 	burst := max(1, int(perSecond*l.burst.Seconds()))
 	if !known {
 		l.bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
@@ -142,19 +144,23 @@
 	return float64(g.rate.bucket.Limit())
 }
 
-// UntilRateAdmits returns the time until the rate limit admits the first waiting request, and false
-// if it keeps none from being sent. AdmitWaiting is due then.
-func (g *Gate) UntilRateAdmits(now time.Time) (time.Duration, bool) {
+// UntilRateAdmits returns the time until the rate limit admits the first waiting request; 0 if it
+// keeps none from being sent. AdmitWaiting is due then.
+func (g *Gate) UntilRateAdmits(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	wait := g.rate.wait(now, 0)
-	return wait, g.rate.bucket != nil && g.running < g.slots
+	return g.rate.wait(now, 0)
 }
 
-// AdmitWaiting admits the waiting requests that may be sent now.
+// AdmitWaiting admits the requests that waited for the rate limit and may be sent now.
 func (g *Gate) AdmitWaiting(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.admitWaiting(now)
-	g.onChange()
+	before := len(g.waiting)
+	if g.rate.bucket == nil {
+		return
+	}
+	if g.admitWaiting(now); len(g.waiting) != before {
+		g.onChange()
+	}
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -29,8 +29,10 @@
 	// minStall.
 	stallFactor = 4
 	minStall    = time.Second
-	// minRateWait bounds how often a waiting request checks the rate limit.
-	minRateWait = 5 * time.Millisecond
+	// minRateCheck and maxRateCheck bound the time between two checks of a waiting request whether
+	// the rate limit admits it.
+	minRateCheck = 5 * time.Millisecond
+	maxRateCheck = 100 * time.Millisecond
 	// rateLimitScale converts requests per second to the unit of the metric.
 	rateLimitScale = 1000
 )
@@ -134,18 +136,23 @@
 	ctx, cancel := context.WithTimeout(ctx, queueLimit)
 	defer cancel()
 	for {
-		// The end of a run admits waiting requests, but nothing else tells when the rate limit does.
-		var rateAdmits <-chan time.Time
-		if wait, limited := h.gate.UntilRateAdmits(time.Now()); limited {
-			rateAdmits = time.After(max(wait, minRateWait))
+		// The end of a run admits waiting requests, but not those that a rate limit keeps, which the
+		// server may name at any time.
+		untilRate := h.gate.UntilRateAdmits(time.Now())
+		check := maxRateCheck
+		if untilRate > 0 {
+			check = min(max(untilRate, minRateCheck), maxRateCheck)
 		}
 		select {
 		case reason := <-ticket.Decision():
 			return reason
-		case <-rateAdmits:
+		case <-time.After(check):
 			h.gate.AdmitWaiting(time.Now())
 		case <-ctx.Done():
 			h.gate.Cancel(time.Now(), ticket)
+			if untilRate > 0 {
+				return gate.RateLimited
+			}
 			return gate.Busy
 		}
 	}
