Send the state of a rate limit only while there is one

Cause: bytes between data centres are the dearest resource, and each report carried two numbers that are rarely used. Tests of the rate header's values.

--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -20,13 +20,15 @@
 		Load: gate.Load{
 			Running: number("running"), Slots: number("slots"), FailureProbability: float64(rapid.IntRange(0, probabilityScale).Draw(t, "doubt")) / probabilityScale,
 			Service: ms("service"), TrialIn: ms("trial"), RetriesLeft: number("repeats"), StopsIn: ms("ends"), SinceLastResult: ms("quiet"),
-			RateInterval: ms("rate interval"), RateTokens: float64(number("tokens")),
 			Open: rapid.Bool().Draw(t, "open"), Cold: rapid.Bool().Draw(t, "cold"),
 		},
 	}}
 	for i := range r.Load.Waiting {
 		r.Load.Waiting[i] = number("waiting")
 	}
+	if rapid.Bool().Draw(t, "rate limited") {
+		r.Load.RateInterval, r.Load.RateTokens = ms("interval")+time.Millisecond, float64(number("tokens"))
+	}
 	return r
 }
 
--- a/internal/beacon/datagram.go
+++ b/internal/beacon/datagram.go
@@ -22,13 +22,15 @@
 )
 
 // magic begins each datagram, so that datagrams of other protocols are rejected.
-var magic = [2]byte{'T', '4'}
+var magic = [2]byte{'T', '3'}
 
 // Flag bits of a report.
 const (
 	bitOpen = 1 << iota
 	bitCold
 	bitFollowsStore
+	// bitRateLimited tells that the report ends with the rate limit of the server.
+	bitRateLimited
 )
 
 // NodeHash identifies a node in datagrams.
@@ -109,16 +111,21 @@
 	if r.FollowsStore {
 		bits |= bitFollowsStore
 	}
+	if r.Load.RateLimited() {
+		bits |= bitRateLimited
+	}
 	numbers := []uint64{
 		uint64(max(r.Age, 0).Milliseconds()), bits, uint64(r.Load.Running), uint64(r.Load.Slots),
 		uint64(r.Load.FailureProbability * probabilityScale), uint64(r.Load.Service.Milliseconds()),
 		uint64(r.Load.TrialIn.Milliseconds()), uint64(r.Load.RetriesLeft), uint64(r.Load.StopsIn.Milliseconds()),
-		uint64(r.Load.SinceLastResult.Milliseconds()), uint64(r.Load.RateInterval.Milliseconds()),
-		uint64(max(r.Load.RateTokens, 0) * tokenScale),
+		uint64(r.Load.SinceLastResult.Milliseconds()),
 	}
 	for _, waiting := range r.Load.Waiting {
 		numbers = append(numbers, uint64(waiting))
 	}
+	if r.Load.RateLimited() {
+		numbers = append(numbers, uint64(max(r.Load.RateInterval.Milliseconds(), 1)), uint64(max(r.Load.RateTokens, 0)*tokenScale))
+	}
 	for _, n := range numbers {
 		b = binary.AppendUvarint(b, min(n, maxValue))
 	}
@@ -156,13 +163,9 @@
 	}
 	r.Node, r.Stamp = NodeHash(binary.BigEndian.Uint32(b)), binary.BigEndian.Uint32(b[4:])
 	b = b[8:]
-	var numbers [12 + gate.PriorityLevels]int
-	for i := range numbers {
-		value, n := binary.Uvarint(b)
-		if n <= 0 || value > maxValue {
-			return AgedReport{}, nil, false
-		}
-		numbers[i], b = int(value), b[n:]
+	var numbers [10 + gate.PriorityLevels]int
+	if b, ok = decodeNumbers(b, numbers[:]); !ok {
+		return AgedReport{}, nil, false
 	}
 	r.FollowsStore = numbers[1]&bitFollowsStore != 0
 	r.Age = time.Duration(numbers[0]) * time.Millisecond
@@ -175,9 +178,26 @@
 		RetriesLeft:        numbers[7],
 		StopsIn:            time.Duration(numbers[8]) * time.Millisecond,
 		SinceLastResult:    time.Duration(numbers[9]) * time.Millisecond,
-		RateInterval:       time.Duration(numbers[10]) * time.Millisecond,
-		RateTokens:         float64(numbers[11]) / tokenScale,
 	}
-	copy(r.Load.Waiting[:], numbers[12:])
+	copy(r.Load.Waiting[:], numbers[10:])
+	if numbers[1]&bitRateLimited != 0 {
+		var limit [2]int
+		if b, ok = decodeNumbers(b, limit[:]); !ok {
+			return AgedReport{}, nil, false
+		}
+		r.Load.RateInterval, r.Load.RateTokens = time.Duration(limit[0])*time.Millisecond, float64(limit[1])/tokenScale
+	}
 	return r, b, true
 }
+
+// decodeNumbers fills numbers from the start of b and returns the rest of b.
+func decodeNumbers(b []byte, numbers []int) (rest []byte, ok bool) {
+	for i := range numbers {
+		value, n := binary.Uvarint(b)
+		if n <= 0 || value > maxValue {
+			return nil, false
+		}
+		numbers[i], b = int(value), b[n:]
+	}
+	return b, true
+}
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -111,8 +111,10 @@
 	for _, waiting := range r.Waiting {
 		numbers = append(numbers, int64(waiting))
 	}
-	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastResult.Milliseconds(),
-		r.RateInterval.Milliseconds(), int64(max(r.RateTokens, 0)*shareScale))
+	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastResult.Milliseconds())
+	if r.RateLimited() {
+		numbers = append(numbers, max(r.RateInterval.Milliseconds(), 1), int64(max(r.RateTokens, 0)*shareScale))
+	}
 	var text []byte
 	for i, n := range numbers {
 		if i > 0 {
@@ -123,14 +125,18 @@
 	return string(text)
 }
 
-const loadReportFields = 13 + gate.PriorityLevels
+// A load report has loadReportFields numbers, and rateFields more if the server limits the rate.
+const (
+	loadReportFields = 11 + gate.PriorityLevels
+	rateFields       = 2
+)
 
 func decodeLoadReport(text string) (loadReport, bool) {
 	fields := strings.Split(text, ";")
-	if len(fields) != loadReportFields {
+	if len(fields) != loadReportFields && len(fields) != loadReportFields+rateFields {
 		return loadReport{}, false
 	}
-	var n [loadReportFields]int64
+	var n [loadReportFields + rateFields]int64
 	for i, field := range fields {
 		value, err := strconv.ParseInt(field, 10, 64)
 		if err != nil || value < 0 {
