Tell callers the known wait, and log provisional limits

Cause: read over the change: a request refused because of rate limits was told to return after at most 2 s, although the wait is known; hops refused by the limit of a restarted node had no log line that explains them; requests behind refused ones were judged by their old place; a late answer of the previous incarnation could lift a provisional limit. Change: Retry-After is the known wait, up to 10 s; the log tells each limit in force, also the one before the first answer; places count those that stay; late answers of other incarnations change nothing. Measured: tests of gate, sidecar, explain and the tests of notices pass; TestANewLimitRefusesWaitingRequestsThatItKeepsTooLong has a third request that the old places would have refused.

--- a/internal/explain/write.go
+++ b/internal/explain/write.go
@@ -65,6 +65,9 @@
 		if !line.Limited {
 			return "server accepts any rate"
 		}
+		if line.Request == "" {
+			return fmt.Sprintf("server gets %.3g requests/s until its first response", line.PerSecond)
+		}
 		return fmt.Sprintf("server accepts %.3g requests/s since request %s", line.PerSecond, line.Request)
 	case "configuration in force":
 		return fmt.Sprintf("%s: version %d", line.Message, line.Version)
--- a/internal/gate/ratelimit.go
+++ b/internal/gate/ratelimit.go
@@ -100,7 +100,7 @@
 }
 
 // LimitRate records that the response to a request names the number of requests per second that the
-// server accepts. Waiting requests that no longer can be sent in time are refused.
+// server accepts. Waiting requests that can no longer be sent in time are refused.
 func (g *Gate) LimitRate(now time.Time, answered *Ticket, perSecond float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -109,8 +109,8 @@
 	}
 	g.rate.set(now, perSecond)
 	kept := g.waiting[:0]
-	for i, ticket := range g.waiting {
-		if now.Add(g.rate.wait(now, i)).After(ticket.waitUntil) {
+	for _, ticket := range g.waiting {
+		if now.Add(g.rate.wait(now, len(kept))).After(ticket.waitUntil) {
 			ticket.decision <- RateLimited
 			continue
 		}
@@ -126,7 +126,8 @@
 func (g *Gate) LiftRate(now time.Time, answered *Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.rate.bucket == nil || !answered.started.After(g.rate.namedAt) {
+	overtaken := !answered.started.After(g.rate.namedAt)
+	if g.rate.bucket == nil || overtaken || answered.started.Before(g.incarnationSince) {
 		return
 	}
 	g.rate.lift()
--- a/internal/gate/ratelimit_test.go
+++ b/internal/gate/ratelimit_test.go
@@ -109,13 +109,14 @@
 		g.Expect(refusal).To(Equal(NotRefused))
 		return ticket
 	}
-	short, long := wait(time.Second), wait(5*time.Second)
+	short, long, longer := wait(time.Second), wait(3*time.Second), wait(5*time.Second)
 	gate.LimitRate(start, running, 0.5)
 	g.Expect(short.Decision()).To(Receive(Equal(RateLimited)))
-	g.Expect(long.Decision()).NotTo(Receive())
+	g.Expect(long.Decision()).NotTo(Receive(), "it is first now")
+	g.Expect(longer.Decision()).NotTo(Receive())
 	_, refusal, after := gate.Admit(start, Request{Objective: start.Add(3 * time.Second), MaxWait: time.Second})
 	g.Expect(refusal).To(Equal(RateLimited))
-	g.Expect(after).To(Equal(4*time.Second), "one request waits before it")
+	g.Expect(after).To(Equal(6*time.Second), "two requests wait before it")
 }
 
 // Guards against a limit that is lifted by a response that was overtaken: the request of that
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -30,6 +30,8 @@
 	// minRetryAfter and maxRetryAfter bound the retry delay suggested to refused callers.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// maxRateRetryAfter bounds the delay because of rate limits, which is known and not estimated.
+	maxRateRetryAfter = 10 * time.Second
 	// stopQueueShare is the fraction of the time until the stop limit that requests of a stopping
 	// node may spend in a queue.
 	stopQueueShare = 0.4
@@ -53,9 +55,11 @@
 				x.entry.telemetry.Metrics.RetriesRefused.Inc()
 				break
 			}
-			if x.rateLimited = x.rateLimitsOutlast(waitUntil); x.rateLimited || !x.waitForServer(ctx, waitUntil) {
+			x.rateWait = x.certainRateWait()
+			if time.Now().Add(x.rateWait).After(waitUntil) || !x.waitForServer(ctx, waitUntil) {
 				break
 			}
+			x.rateWait = 0
 			continue
 		}
 		if !x.finishesBeforeStop(choice.Service) {
@@ -126,15 +130,15 @@
 	return true
 }
 
-// rateLimitsOutlast reports whether the rate limits of all servers keep the request out until a time.
-// Such a request is refused at once. Full and unhealthy servers may accept it sooner than expected.
-func (x *exchange) rateLimitsOutlast(until time.Time) bool {
+// certainRateWait returns the time for which the rate limits of all servers keep the request out. A
+// request that they keep for too long is refused at once; full and unhealthy servers may accept it
+// sooner than expected.
+func (x *exchange) certainRateWait() time.Duration {
 	pool := x.view.Services[x.service]
 	if pool == nil {
-		return false
+		return 0
 	}
-	now := time.Now()
-	return now.Add(x.entry.picker.RateLimitedFor(now, pool.Candidates, x.request.priority)).After(until)
+	return x.entry.picker.RateLimitedFor(time.Now(), pool.Candidates, x.request.priority)
 }
 
 // waitForServer pauses before the next attempt to find a server that accepts the request. It
@@ -340,9 +344,10 @@
 		e.fail(w, x, codes.AnswerLost.New("the request was sent to a server, but its response was lost"), 0)
 	case ctx.Err() != nil:
 		e.fail(w, x, codes.NoServer.New("no server accepted the request in time"), minRetryAfter)
-	case x.rateLimited:
+	case x.rateWait > 0:
 		e.telemetry.Metrics.RateLimited.Inc()
-		e.fail(w, x, codes.NoServer.New("the servers of service %s get as many requests per second as they accept", x.service), x.retryAfter())
+		e.fail(w, x, codes.NoServer.New("the servers of service %s get as many requests per second as they accept", x.service),
+			min(max(x.rateWait, minRetryAfter), maxRateRetryAfter))
 	default:
 		e.fail(w, x, codes.NoServer.New("no server of service %s accepts the request", x.service), x.retryAfter())
 	}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -71,8 +71,9 @@
 	tried map[string]bool
 	// queueing is set once nodes may put the request into their queue.
 	queueing bool
-	// rateLimited is set if the rates that the servers accept keep the request out for too long.
-	rateLimited bool
+	// rateWait is the time for which the rates that the servers accept keep the request out; 0 if
+	// they do not, or not for too long.
+	rateWait time.Duration
 	// hops are the nodes that were asked, for the log.
 	hops []hopRecord
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -265,18 +265,25 @@
 	default:
 		h.gate.LiftRate(now, ticket)
 	}
-	perSecond := h.gate.RateLimit()
-	if before := h.loggedRate.Swap(math.Float64bits(perSecond)); before != math.Float64bits(perSecond) {
-		h.telemetry.Metrics.ServerRateLimit.Set(int64(perSecond * rateLimitScale))
-		h.log.Info("server rate limit", zap.String("server", server.ID), zap.String("request", request),
-			zap.Bool("limited", perSecond > 0), zap.Float64("per_second", perSecond))
-	}
+	h.logRateLimit(server, request)
 	if notice.Leaving && !h.control.View().Server.Leaving {
 		h.log.Info("server announces its departure", zap.String("server", server.ID), zap.String("request", request))
 		h.onLeaving(server.Incarnation)
 	}
 }
 
+// logRateLimit logs a change of the rate limit in force. request is empty if no response caused it: a
+// new incarnation has no limit, or, after a restart of the node, a provisional one.
+func (h *host) logRateLimit(server registration.Server, request string) {
+	perSecond := h.gate.RateLimit()
+	if bits := math.Float64bits(perSecond); h.loggedRate.Swap(bits) == bits {
+		return
+	}
+	h.telemetry.Metrics.ServerRateLimit.Set(int64(perSecond * rateLimitScale))
+	h.log.Info("server rate limit", zap.String("server", server.ID), zap.String("request", request),
+		zap.Bool("limited", perSecond > 0), zap.Float64("per_second", perSecond))
+}
+
 func refuse(reason gate.Refusal, after time.Duration) *hopReply {
 	return &hopReply{refused: &refusal{reason: reason, after: after}}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -176,6 +176,7 @@
 		n.gate.Close()
 	} else {
 		n.gate.Open(now, after.Server.Slots, after.Server.WarmUntil, fresh)
+		n.entry.host.logRateLimit(after.Server, "")
 	}
 	if fresh || before.Server.Leaving != after.Server.Leaving {
 		n.log.Info("server",
