Try an unhealthy server at its rate limit only when the rate admits a request

Callers saw: a lookup kept for 0.8 s while its entry sent it nine times to two unhealthy servers at their limits. Change: an unhealthy server is chosen only if its bucket has a request for it, after those that wait.

--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -239,8 +239,9 @@
 	}
 	// An unhealthy server gets only a trial: an idempotent request that can be retried elsewhere,
 	// when a trial is due and nothing was sent there since the report. A request that may not wait
-	// is no trial in another data centre.
-	if !s.load.Healthy() && (!q.Idempotent || q.LastAttempt || age < s.load.TrialIn || len(s.sent) > 0 || remote && maxWait == 0) {
+	// is no trial in another data centre. A trial does not wait for a rate limit.
+	if !s.load.Healthy() && (!q.Idempotent || q.LastAttempt || age < s.load.TrialIn || len(s.sent) > 0 || remote && maxWait == 0 ||
+		s.load.RateWait(s.load.Ahead(gate.PriorityLevels), age) > 0) {
 		return false
 	}
 	unreported := len(s.sent)
--- a/internal/pick/ratelimit_test.go
+++ b/internal/pick/ratelimit_test.go
@@ -54,3 +54,18 @@
 	p.Report(start, "far", healthy(6))
 	g.Expect(p.RateLimitedFor(start, nodes, 1)).To(BeZero(), "a full server may have room sooner than expected")
 }
+
+// Guards against hops without end to an unhealthy server at its rate limit: a trial cannot wait there,
+// so its node refuses each.
+func TestAnUnhealthyServerIsTriedOnlyWhenItsRateAdmitsARequest(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	load := rateLimited(time.Second, 0.8)
+	load.FailureProbability = 0.9
+	p.Report(start, "near", load)
+	p.MarkUnreachable(start, "far")
+	g.Expect(chosen(p, Query{Idempotent: true, MaxWait: time.Second})).To(BeEmpty())
+	load.RateTokens = 1
+	p.Report(start, "near", load)
+	g.Expect(chosen(p, Query{Idempotent: true, MaxWait: time.Second})).To(Equal("near"))
+}
