review: case 3, a departure acknowledged while the store is down is forgotten by a restart

Cause: the acknowledgement does not wait for the record of the departure, and the retries of the record end with the process.

--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -29,6 +29,8 @@
 	sequence int
 	born     int64
 	runs     []Run
+	// notices are header lines of all answers.
+	notices string
 }
 
 // Run is a request that the server began to work on.
@@ -116,8 +118,11 @@
 		return
 	}
 	time.Sleep(x.Server.Work)
-	if _, err := fmt.Fprintf(x.Conn, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), x.ID, x.ID, len(body), body); err != nil {
+	x.Server.mu.Lock()
+	notices := x.Server.notices
+	x.Server.mu.Unlock()
+	if _, err := fmt.Fprintf(x.Conn, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), x.ID, x.ID, notices, len(body), body); err != nil {
 		x.KeepOpen = false
 	}
 }
@@ -139,3 +144,10 @@
 	s.born += born
 	s.sequence = 0
 }
+
+// Leaving makes the server say in all its answers that it leaves.
+func (s *Server) Leaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notices = "Server-Leaving: 1\r\n"
+}
