review: case 4, draining is acknowledged but has no effect after a clock step

Cause: a report of an incarnation with a smaller start time is acknowledged and ignored, also when it says that the server is draining.

--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -29,6 +29,8 @@
 	sequence int
 	born     int64
 	runs     []Run
+	listener net.Listener
+	conns    map[*net.TCPConn]bool
 	// notices are header lines of all answers.
 	notices string
 }
@@ -51,21 +53,8 @@
 }
 
 func newServer(r *Rig, id, addr string) (*Server, error) {
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
 	s := &Server{ID: id, Slots: 6, State: "ready", Work: 20 * time.Millisecond, rig: r, addr: addr, born: time.Now().UnixMilli()}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn.(*net.TCPConn))
-		}
-	}()
-	return s, nil
+	return s, s.listen()
 }
 
 // Runs returns the requests that the server began to work on.
@@ -136,13 +125,52 @@
 	return string(b)
 }
 
-// Restart starts the server again under the same ID, with nothing of before. born is added to the
-// start time of the lifetime before, in milliseconds.
-func (s *Server) Restart(born int64) {
+// Crash ends the server: its port is closed and its connections are reset.
+func (s *Server) Crash() {
+	s.rig.Note("server %s crashes", s.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Silent = true
+	s.listener.Close()
+	for conn := range s.conns {
+		_ = conn.SetLinger(0)
+		conn.Close()
+	}
+}
+
+// Restart starts a server that crashed again under the ID that it had, with nothing of before. ahead
+// is how far the clock of its machine is ahead.
+func (s *Server) Restart(ahead time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.born += born
-	s.sequence = 0
+	s.born, s.sequence, s.Silent = time.Now().Add(ahead).UnixMilli(), 0, false
+	s.rig.Note("server %s starts, born %d", s.ID, s.born)
+	if err := s.listen(); err != nil {
+		s.rig.Note("server %s: %v", s.ID, err)
+	}
+}
+
+// listen accepts connections until the listener is closed.
+func (s *Server) listen() error {
+	listener, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return err
+	}
+	s.listener, s.conns = listener, map[*net.TCPConn]bool{}
+	conns := s.conns
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			conns[conn.(*net.TCPConn)] = true
+			s.mu.Unlock()
+			go s.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return nil
 }
 
 // Leaving makes the server say in all its answers that it leaves.
