review: case 2, a change after a silent store is late on all nodes

Cause: a lost watch ends only by its time-out of up to 16.5 s, and after a change all nodes begin their watches together.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -83,7 +83,10 @@
 	storeSrv *http.Server
 	storeAt  string
 	delay    time.Duration
-	Trouble  bool
+	// silence is closed when the store falls silent.
+	silence chan struct{}
+	silent  bool
+	Trouble bool
 }
 
 // Machine is a node and the backend server beside it.
@@ -128,7 +131,7 @@
 		os.Exit(Failed)
 	}
 	r := &Rig{options: o, record: record, started: time.Now(), Store: standin.NewStore(), Trouble: os.Getenv("TROUBLE") != "0"}
-	r.delay = 4 * time.Millisecond
+	r.delay, r.silence = 4*time.Millisecond, make(chan struct{})
 	if o.StoreDelay > 0 {
 		r.delay = o.StoreDelay
 	}
@@ -172,12 +175,72 @@
 	r.delay = d
 }
 
+// Silence makes the store answer nothing for a time. The connections of calls that are under way then,
+// or come in that time, deliver nothing further.
+func (r *Rig) Silence(length time.Duration) {
+	r.Note("the store is silent")
+	r.mu.Lock()
+	silence := r.silence
+	r.silent = true
+	r.mu.Unlock()
+	close(silence)
+	time.Sleep(length)
+	r.mu.Lock()
+	r.silent, r.silence = false, make(chan struct{})
+	r.mu.Unlock()
+	r.Note("the store serves again")
+}
+
 func (r *Rig) serveStore(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
-	delay := r.delay
+	delay, silent, silence := r.delay, r.silent, r.silence
 	r.mu.Unlock()
+	if silent {
+		<-req.Context().Done()
+		return
+	}
 	time.Sleep(delay)
-	r.Store.ServeHTTP(w, req)
+	answer := &lostAnswer{ResponseWriter: w, silence: silence, gone: req.Context().Done()}
+	r.Store.ServeHTTP(answer, req)
+}
+
+// lostAnswer holds an answer back for good once the store has been silent.
+type lostAnswer struct {
+	http.ResponseWriter
+	silence <-chan struct{}
+	gone    <-chan struct{}
+}
+
+func (l *lostAnswer) hold() {
+	select {
+	case <-l.silence:
+		<-l.gone
+	default:
+	}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (l *lostAnswer) WriteHeader(status int) {
+	l.hold()
+	l.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (l *lostAnswer) Write(data []byte) (int, error) {
+	l.hold()
+	return l.ResponseWriter.Write(data)
+}
+
+// RanAt returns the service whose server ran a request; empty if none did.
+func (r *Rig) RanAt(id string) string {
+	for _, m := range r.Machines {
+		for _, run := range m.Server.Runs() {
+			if run.ID == id {
+				return m.Service
+			}
+		}
+	}
+	return ""
 }
 
 // pickPorts draws a block of loopback addresses and a base port that are free.
