review: the stand-ins become test files in one package

Cause: a check of the project keeps the platform's names out of other sources, and every package needs a doc.go. Change: review/cases, built with the tag review; review/run.sh names the case.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for folder in review/[0-9]*/; do
-  if [ -f "$folder/main.go" ]; then
-    go build -buildvcs=false -tags review -o "target/review/case-$(basename "$folder")" "./$folder"
-  fi
-done
+go test -c -tags review -o target/review/cases ./review/cases
--- a/review/1/main.go
+++ b/review/cases/case1_test.go
@@ -2,15 +2,14 @@
 
 // Case 1: a server breaks off an answer without a length while the body of its request is still
 // being sent, and resets the connection.
-package main
+
+package cases
 
 import (
 	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/tarragonford/tarragonford/review/rig"
 )
 
 const (
@@ -26,24 +25,24 @@
 	runFor     = 42 * time.Second
 )
 
-func main() {
-	r := rig.New(rig.Options{
+func runCase1() {
+	r := New(Options{
 		Services: []string{"bookings", "bookings", "measures"},
-		Routes: []rig.Route{{
+		Routes: []Route{{
 			Prefix: "/book/", Name: "r-1", Service: "bookings", Type: "non_idempotent", TimeoutS: 8, TargetS: 2, MaxAttempts: 2, Priority: 1,
 		}},
 	})
 	started := time.Now()
 	var answers atomic.Int64
 	for i, m := range r.Machines {
-		m.Server.Handle = func(x *rig.Exchange) {
+		m.Server.Handle = func(x *Exchange) {
 			round, since := int(time.Since(started)/troubleEvery), time.Since(started)%troubleEvery
 			spoils := r.Trouble && round%2 == i // share = 0.5: one of the two servers of the service
 			if spoils && since < troubleFor && answers.Add(1)%spoilEvery == 0 {
 				breakOff(r, x)
 				return
 			}
-			x.Answer(200, rig.Body(x.ID, answerLines))
+			x.Answer(200, Body(x.ID, answerLines))
 		}
 	}
 	var sent, broken atomic.Int64
@@ -55,7 +54,7 @@
 				id := fmt.Sprintf("q-%d-%d", c, i)
 				a := m.Send("POST", "/book/slot", id, body, 8*time.Second)
 				sent.Add(1)
-				whole := a.Body == rig.Body(id, answerLines)
+				whole := a.Body == Body(id, answerLines)
 				r.Note("client %s at %s: status %d, signature %q, %d body bytes, whole %v, error %v", id, m.Name, a.Status, a.Signature, len(a.Body), whole, a.Err)
 				if a.Status >= 200 && a.Status < 300 && !whole {
 					r.Note("MIXED: client %s got a success whose body is not the server's whole body", id)
@@ -70,9 +69,9 @@
 
 // breakOff answers before the body of the request is in, without a length, and resets the connection
 // in the middle of the answer.
-func breakOff(r *rig.Rig, x *rig.Exchange) {
+func breakOff(r *Rig, x *Exchange) {
 	x.KeepOpen = false
-	whole := rig.Body(x.ID, answerLines)
+	whole := Body(x.ID, answerLines)
 	fmt.Fprintf(x.Conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\nConnection: close\r\n\r\n%s", x.ID, x.ID, whole[:len(whole)/2])
 	time.Sleep(50 * time.Millisecond)
 	r.Note("server %s resets the connection of %s after %d of %d body bytes", x.Server.ID, x.ID, len(whole)/2, len(whole))
--- a/review/2/main.go
+++ b/review/cases/case2_test.go
@@ -1,14 +1,13 @@
 //go:build review
 
 // Case 2: a new manifest is acknowledged some seconds after the store was silent.
-package main
+
+package cases
 
 import (
 	"fmt"
 	"sync"
 	"time"
-
-	"github.com/tarragonford/tarragonford/review/rig"
 )
 
 const (
@@ -20,12 +19,12 @@
 	rounds    = 4
 )
 
-func route(service string) []rig.Route {
-	return []rig.Route{{Prefix: "/child/", Name: "r-1", Service: service, Type: "safe", TimeoutS: 10, TargetS: 2, MaxAttempts: 2, Priority: 2}}
+func route(service string) []Route {
+	return []Route{{Prefix: "/child/", Name: "r-1", Service: service, Type: "safe", TimeoutS: 10, TargetS: 2, MaxAttempts: 2, Priority: 2}}
 }
 
-func main() {
-	r := rig.New(rig.Options{Services: []string{"measures", "bookings", "wardrobe"}, Routes: route("measures")})
+func runCase2() {
+	r := New(Options{Services: []string{"measures", "bookings", "wardrobe"}, Routes: route("measures")})
 	services := []string{"bookings", "wardrobe", "measures"}
 	broken, judged := 0, 0
 	for round := range rounds {
@@ -82,7 +81,7 @@
 }
 
 // inForce reports whether all nodes send requests to the service.
-func inForce(r *rig.Rig, service, id string) bool {
+func inForce(r *Rig, service, id string) bool {
 	for c, m := range r.Machines {
 		id := fmt.Sprintf("%s-%d", id, c)
 		m.Send("GET", "/child/1", id, nil, 4*time.Second)
--- a/review/3/main.go
+++ b/review/cases/case3_test.go
@@ -2,7 +2,8 @@
 
 // Case 3: a server leaves while the store is down, and the node beside it is restarted before the
 // store is back. A check-in of the server from before its leave arrives late.
-package main
+
+package cases
 
 import (
 	"fmt"
@@ -11,16 +12,15 @@
 	"time"
 
 	"github.com/tarragonford/tarragonford/platform/standin"
-	"github.com/tarragonford/tarragonford/review/rig"
 )
 
 // drain is the bound drain_s of the settings.
 const drain = 2 * time.Second
 
-func main() {
-	r := rig.New(rig.Options{
+func runCase3() {
+	r := New(Options{
 		Services: []string{"bookings", "measures", "bookings", "measures"},
-		Routes: []rig.Route{
+		Routes: []Route{
 			{Prefix: "/book/", Name: "r-1", Service: "bookings", Type: "non_idempotent", TimeoutS: 8, TargetS: 2, MaxAttempts: 2, Priority: 1},
 			{Prefix: "/measure/", Name: "r-2", Service: "measures", Type: "safe", TimeoutS: 10, TargetS: 2, MaxAttempts: 2, Priority: 2},
 		},
--- a/review/4/main.go
+++ b/review/cases/case4_test.go
@@ -2,19 +2,16 @@
 
 // Case 4: a server goes down and up by turns while the clock of its machine steps ahead and back.
 // Later it drains.
-package main
+
+package cases
 
 import (
 	"fmt"
 	"sync"
 	"time"
-
-	"github.com/tarragonford/tarragonford/review/rig"
 )
 
 const (
-	// drain is the bound drain_s of the settings.
-	drain = 2 * time.Second
 	// stepAhead and stepFor are the clock step; period is that of the flapping server.
 	stepAhead = 2 * time.Second
 	stepFor   = 5 * time.Second
@@ -22,10 +19,10 @@
 	flaps     = 6
 )
 
-func main() {
-	r := rig.New(rig.Options{
+func runCase4() {
+	r := New(Options{
 		Services: []string{"bookings", "measures", "bookings", "measures"},
-		Routes: []rig.Route{
+		Routes: []Route{
 			{Prefix: "/measure/", Name: "r-2", Service: "measures", Type: "safe", TimeoutS: 10, TargetS: 2, MaxAttempts: 2, Priority: 2},
 		},
 	})
--- a/review/rig/rig.go
+++ b/review/cases/rig_test.go
@@ -1,9 +1,6 @@
 //go:build review
 
-// Package rig runs a small deployment of tarragon-sidecar for the cases of the review: the store,
-// the backend servers and the readiness probes are stand-ins in this process, the nodes are separate
-// processes started as deploy/system.toml says. All addresses are loopback addresses.
-package rig
+package cases
 
 import (
 	"bytes"
--- a/review/rig/server.go
+++ b/review/cases/server_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package rig
+package cases
 
 import (
 	"bufio"
--- a/review/run.sh
+++ b/review/run.sh
@@ -5,12 +5,13 @@
 folder=$(cd "$1" && pwd) || exit 2
 cd "$(dirname "$0")/.." || exit 2
 SIDECAR=$(sed -n '/^\[roles.sidecar\]/,/^\[/s/^run = "\(.*\)"$/\1/p' deploy/system.toml)
-program=target/review/case-$(basename "$folder")
+program=target/review/cases
 if [ ! -x "${SIDECAR%% *}" ] || [ ! -x "$program" ]; then
   echo "build first: the build line of deploy/system.toml, then review/build.sh" >&2
   exit 2
 fi
-export SIDECAR RECORD_DIR=$folder
+CASE=$(basename "$folder")
+export SIDECAR CASE RECORD_DIR=$folder
 timeout -k 3 115 "$program"
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
