sidecar: client accounts and their keys, and calls between nodes in datagrams

Cause: a configuration with accounts was served as if it had none. Requests ran with any key or without one, the key reached the server, and the caller could choose the account that the server saw.

Change: the configuration holds accounts, an index of key digests, and public routes. The entry refuses unknown keys (1020), hands only the account name on, and takes the account's priority before the route's. Hops carry the account and the kind of a request. Nodes can call each other in datagrams, which limits over all nodes and the age of keys need.

--- a/internal/beacon/doc.go
+++ b/internal/beacon/doc.go
@@ -19,6 +19,11 @@
 // for StampExpiry accepts any stamp, because the clock of a restarted node may have
 // been set back.
 //
+// # Calls
+//
+// A Call is a small request from one node to another in one datagram, for decisions that need an
+// answer within a few milliseconds.
+//
 // # Limits
 //
 // Nodes are identified by a 32-bit hash. Some two nodes of a fleet have the same
--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -145,6 +145,10 @@
 		"No connection to the host node could be opened.", "Try again after a short pause.")
 	BodyMemory = define(1019, "body-memory", statusServiceUnavailable, NotRun,
 		"The request bodies held by the node have reached its memory limit.", "Try again after a short pause, or use another entry address.")
+	UnknownKey = define(1020, "unknown-key", statusUnauthorized, NotRun,
+		"The route needs an account key, and the configuration in force does not contain the one that was sent.", "Send a current key of the client account.")
+	KeysUnconfirmed = define(1021, "keys-unconfirmed", statusServiceUnavailable, NotRun,
+		"The node has not heard for too long whether account keys were withdrawn.", "Use another entry address, or try again after a short pause.")
 )
 
 // Requests whose outcome is unknown or whose answer was lost.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -67,6 +67,8 @@
 	MaxAttempts int `json:"-"`
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int `json:"-"`
+	// Public routes serve requests without an account key.
+	Public bool `json:"-"`
 }
 
 // RequestKind says whether a request may run more than once.
@@ -99,9 +101,17 @@
 	// Weight is the account's share of capacity under load, relative to other
 	// accounts. Default 1.
 	Weight float64 `json:"weight,omitempty"`
-	// RatePerSecond limits the requests of the account at one entry node; 0 means no
-	// limit.
+	// RatePerSecond limits the requests of the account: at one entry node if it
+	// comes from an intent, over all nodes if it comes from the platform. 0 means
+	// no limit.
 	RatePerSecond float64 `json:"rate,omitempty"`
+	// Burst is the number of requests that the account may send at once beyond
+	// its rate. It and the fields below come from a configuration that operators
+	// write to the platform; the rows written by intents do not contain them.
+	Burst float64 `json:"-"`
+	// Priority takes the place of the priority of the route; nil if the account
+	// has none.
+	Priority *int `json:"-"`
 }
 
 // WithdrawalScope is the kind of target that a Withdrawal takes out of service.
@@ -185,6 +195,9 @@
 	Limits RequestLimits
 	// Index finds the route of a request.
 	Index *RouteIndex
+	// Keys finds the account of a request; nil if the configuration has no
+	// accounts with keys.
+	Keys *AccountKeys
 }
 
 // EmptyConfig returns a configuration of version 0 without rows.
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -179,6 +179,9 @@
 	header := http.Header{}
 	forward.CopyEndToEnd(header, r.header)
 	e.headers.Strip(header)
+	if r.account.InUse {
+		e.headers.StripAccount(header)
+	}
 	stripHopHeaders(header)
 	header[headerHop] = []string{r.encode()}
 	if r.departed != nil {
--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -57,6 +58,9 @@
 	// onLoad is called whenever this node sends a beacon with its own load.
 	onLoad func()
 
+	// calls handles the calls of other nodes, which arrive at the same address.
+	calls *calls
+
 	conn  *net.UDPConn
 	table *beacon.Table
 	// dirty holds a token if the load has changed since the last beacon.
@@ -84,7 +88,7 @@
 func (b *beacons) receive() error {
 	buffer := make([]byte, beacon.MaxBytes)
 	for {
-		n, err := b.conn.Read(buffer)
+		n, from, err := b.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -93,6 +97,9 @@
 			b.log.Debug("failed to read beacon", zap.Error(err))
 			continue
 		}
+		if b.calls.receive(time.Now(), buffer[:n], from) {
+			continue
+		}
 		if received, ok := beacon.Decode(buffer[:n]); ok {
 			b.handleDatagram(received)
 		}
@@ -249,6 +256,12 @@
 	}
 }
 
+// sendCall sends the datagram of a call or its reply.
+func (b *beacons) sendCall(data []byte, to netip.AddrPort) error {
+	_, err := b.conn.WriteToUDPAddrPort(data, to)
+	return err
+}
+
 func (b *beacons) send(node peer, parts [][]byte) {
 	for _, data := range parts {
 		if _, err := b.conn.WriteToUDPAddrPort(data, node.addr); err != nil {
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -48,6 +48,9 @@
 	bodies     *limit.BodyMemory
 	// onVersion is called with the configuration version of another node.
 	onVersion func(version uint64, inbound string)
+	// keysConfirmed reports whether the account keys of the configuration in force are recent
+	// enough to accept requests by them.
+	keysConfirmed func() bool
 }
 
 // exchange is the state of one caller request while it is being served.
@@ -84,7 +87,8 @@
 	if err != nil {
 		coded := codes.FromError(err)
 		after := time.Duration(0)
-		if coded.Code.Number == codes.Leaving.Number || coded.Code.Number == codes.BodyMemory.Number {
+		switch coded.Code.Number {
+		case codes.Leaving.Number, codes.BodyMemory.Number, codes.KeysUnconfirmed.Number:
 			after = minRetryAfter
 		}
 		e.fail(w, x, coded, after)
@@ -117,6 +121,10 @@
 	}
 	x.route = found
 	x.setDeadlines(r)
+	account, err := x.identify(r.Header)
+	if err != nil {
+		return x, err
+	}
 	if err := x.checkStop(); err != nil {
 		return x, err
 	}
@@ -127,12 +135,14 @@
 	x.request.body = body
 	x.service = e.splitter.Choose(&x.route, rand.Float64)
 	x.request.hopMetadata = hopMetadata{
-		priority:   found.Priority,
+		priority:   x.priority(account),
 		idempotent: found.IsIdempotent(r.Method),
 		caller:     e.settings.Service,
 		service:    x.service,
 		version:    view.Config.Version,
 		inbound:    e.settings.Inbound,
+		account:    account,
+		kind:       kindOf(found.ID),
 		firstHop:   true, retryShare: e.host.gate.RetryShare(),
 	}
 	return x, nil
@@ -292,6 +302,7 @@
 		zap.String("target_service", x.service),
 		zap.Int("priority", x.request.priority),
 		zap.Bool("idempotent", x.request.idempotent),
+		zap.String("account", x.request.account.Name),
 		zap.Int("status", status),
 		zap.Int("code", code),
 		zap.NamedError("reason", err),
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -51,23 +52,36 @@
 	// of gate.Request.
 	retry, firstHop bool
 	retryShare      float64
+	// account is the client account of the request.
+	account AccountName
+	// kind identifies the route, for the division of a server between kinds of requests.
+	kind uint32
 }
 
-const hopMetadataFields = 12
+// A hop has hopMetadataFields fields, and accountFields more if accounts are in use.
+const (
+	hopMetadataFields = 13
+	accountFields     = 1
+)
 
 // shareScale is the resolution of fractions and probabilities in hop headers.
 const shareScale = 1000
 
 func (t hopMetadata) encode() string {
-	return fmt.Sprintf("%d;%d;%d;%d;%d;%d;%d;%d;%s;%s;%d;%s", t.remaining.Milliseconds(), t.objective.Milliseconds(),
+	text := fmt.Sprintf("%d;%d;%d;%d;%d;%d;%d;%d;%s;%s;%d;%s;%x", t.remaining.Milliseconds(), t.objective.Milliseconds(),
 		t.queueLimit.Milliseconds(), t.priority, boolToInt(t.idempotent), boolToInt(t.retry), boolToInt(t.firstHop),
-		int(t.retryShare*shareScale), t.caller, t.service, t.version, t.inbound)
+		int(t.retryShare*shareScale), t.caller, t.service, t.version, t.inbound, t.kind)
+	if t.account.InUse {
+		text += ";" + url.QueryEscape(t.account.Name)
+	}
+	return text
 }
 
 func decodeHopMetadata(text string) (hopMetadata, error) {
 	fields := strings.Split(text, ";")
-	if len(fields) != hopMetadataFields {
-		return hopMetadata{}, trace.BadParameter("hop metadata must have %d fields, got %d", hopMetadataFields, len(fields))
+	if len(fields) != hopMetadataFields && len(fields) != hopMetadataFields+accountFields {
+		return hopMetadata{}, trace.BadParameter("hop metadata must have %d fields, or %d with an account, got %d",
+			hopMetadataFields, hopMetadataFields+accountFields, len(fields))
 	}
 	var numbers [8]int64
 	for i := range numbers {
@@ -81,6 +95,18 @@
 	if err != nil {
 		return hopMetadata{}, trace.BadParameter("hop metadata: the configuration version is not a number")
 	}
+	kind, err := strconv.ParseUint(fields[12], 16, 32)
+	if err != nil {
+		return hopMetadata{}, trace.BadParameter("hop metadata: the kind of the request is not a number")
+	}
+	var account AccountName
+	if len(fields) > hopMetadataFields {
+		name, err := url.QueryUnescape(fields[hopMetadataFields])
+		if err != nil {
+			return hopMetadata{}, trace.BadParameter("hop metadata: the account is not encoded")
+		}
+		account = AccountName{InUse: true, Name: name}
+	}
 	return hopMetadata{
 		remaining:  time.Duration(numbers[0]) * time.Millisecond,
 		objective:  time.Duration(numbers[1]) * time.Millisecond,
@@ -94,6 +120,8 @@
 		service:    fields[9],
 		version:    version,
 		inbound:    fields[11],
+		kind:       uint32(kind),
+		account:    account,
 	}, nil
 }
 
--- a/internal/sidecar/hop_test.go
+++ b/internal/sidecar/hop_test.go
@@ -23,6 +23,10 @@
 			caller:     "measures", service: "bookings", version: rapid.Uint64().Draw(t, "version"), inbound: "10.0.0.1:80",
 			retry: rapid.Bool().Draw(t, "repeat"), firstHop: rapid.Bool().Draw(t, "firstHop"),
 			retryShare: float64(rapid.IntRange(0, shareScale).Draw(t, "share")) / shareScale,
+			kind:       rapid.Uint32().Draw(t, "kind"),
+		}
+		if rapid.Bool().Draw(t, "accounts") {
+			sent.account = AccountName{InUse: true, Name: rapid.String().Draw(t, "account")}
 		}
 		got, err := decodeHopMetadata(sent.encode())
 		if err != nil || got != sent {
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -206,6 +206,7 @@
 		Timeout:  time.Until(r.arrived.Add(r.remaining)),
 		Caller:   r.caller,
 		Instance: server.ID,
+		Account:  r.account,
 	})
 	maxIdle := maxIdleIdempotent
 	if !r.idempotent {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -123,7 +123,8 @@
 	n.entry = &entry{
 		settings: s, control: n.control, picker: n.picker, splitter: n.splitter, peers: n.peers,
 		headers: deps.Headers, log: n.log, telemetry: deps.Telemetry, bodies: n.bodies,
-		onVersion: n.onPeerVersion, sizes: responseSizes{mean: map[string]float64{}}, departures: newDepartures(),
+		keysConfirmed: func() bool { return true },
+		onVersion:     n.onPeerVersion, sizes: responseSizes{mean: map[string]float64{}}, departures: newDepartures(),
 		host: &host{
 			control: n.control, gate: n.gate, pool: n.servers, headers: deps.Headers, addr: s.ServerAddr,
 			log: n.log, telemetry: deps.Telemetry, onAddressTaken: n.forgetServer, onLeaving: n.markDeparted,
@@ -131,6 +132,7 @@
 	}
 	n.beacons.self, n.beacons.control, n.beacons.gate, n.beacons.picker = self, n.control, n.gate, n.picker
 	n.beacons.log = n.log
+	n.beacons.calls = newCalls(self, n.log, n.beacons.sendCall)
 	n.beacons.onVersions = func(configuration, members uint64, addr string) {
 		n.syncer.onPeerVersions(n.lifetime, configuration, members, addr)
 	}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -42,6 +42,14 @@
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// FailClosed refuses requests with an account key when the node cannot know whether the key was
+	// withdrawn more than RevokeWithin ago.
+	FailClosed   bool
+	RevokeWithin time.Duration
+	// QuotaWindow is the time over which the requests of an account are limited. Its limit may be
+	// exceeded by a fraction of QuotaOver plus QuotaSlack requests.
+	QuotaWindow           time.Duration
+	QuotaOver, QuotaSlack float64
 	// RateBurst is the time whose share of the rate that the server accepts may be sent at once; 0
 	// for gate.DefaultRateBurst.
 	RateBurst time.Duration
@@ -70,6 +78,10 @@
 		return trace.BadParameter("the stop limit must be above 0")
 	case s.RetryRatio < 0 || s.RetryAllowance < 0 || s.RetryWindow <= 0:
 		return trace.BadParameter("the retry budget needs a window above 0 and bounds that are not negative")
+	case s.FailClosed && s.RevokeWithin <= 0:
+		return trace.BadParameter("the time within which withdrawn keys are refused must be above 0")
+	case s.QuotaOver < 0 || s.QuotaSlack < 0 || s.QuotaWindow < 0:
+		return trace.BadParameter("the window and the slack of account limits must not be negative")
 	case s.RateBurst < 0 || s.RateBurst > maxRateBurst:
 		return trace.BadParameter("the rate burst must be between 0 and %v", maxRateBurst)
 	}
@@ -84,6 +96,16 @@
 	Caller string
 	// Instance is the only server that may run the request.
 	Instance string
+	// Account is the client account of the request.
+	Account AccountName
+}
+
+// AccountName is the client account of a request.
+type AccountName struct {
+	// InUse is set if the configuration has accounts with keys.
+	InUse bool
+	// Name is empty if the request needs no account.
+	Name string
 }
 
 // ServerNotice is what a backend server says about itself in a response.
@@ -108,6 +130,10 @@
 	// nodes may set.
 	SetMetadata(h http.Header, to RequestMetadata)
 	Strip(h http.Header)
+	// AccountKey returns the account key that a caller sent; "" if there is none. StripAccount
+	// removes the key and the name of an account.
+	AccountKey(h http.Header) string
+	StripAccount(h http.Header)
 	// NotRun reports whether a server response says that the request was not run.
 	NotRun(status int, h http.Header) bool
 	// ServerNotice returns what the server says about itself in a response.
