registration: incarnations are not ordered by the clock of an instance

Cause: a report with an earlier start time than that of the last incarnation was taken for a late one.

Change: an incarnation that started earlier, or was replaced before, takes the place of the current one with its second report in a row while the current one sends none. The departure of another incarnation with the current ID keeps requests away until the current one reports again, since requests name the ID only. An acknowledged departure outlives the process: the node acknowledges it once the store has it or two other nodes hold it, and a started node asks both before it uses a server after one report. The row of a node lists its departures under a precondition, so that none replaces another.

--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -1,6 +1,9 @@
 package registration
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Report is one heartbeat of a backend server.
 type Report struct {
@@ -17,6 +20,18 @@
 	WarmUp time.Duration
 }
 
+// Ack tells a server what became of its report.
+type Ack int
+
+const (
+	// Rejected reports are invalid.
+	Rejected Ack = iota
+	// Unsaved departures are in force, but a restart of the node could forget them.
+	Unsaved
+	// Accepted reports have taken effect.
+	Accepted
+)
+
 // Incarnation identifies one start of a backend server.
 type Incarnation struct {
 	ID        string `json:"id"`
@@ -29,7 +44,8 @@
 	Addr    string
 	Slots   int
 	Leaving bool
-	// Unconfirmed is set if the server may have left while an earlier process of the node ran.
+	// Unconfirmed is set if the server may have left: while an earlier process of the node ran, or
+	// because another incarnation with its ID has left.
 	Unconfirmed bool
 	// WarmUntil is the end of the cold start.
 	WarmUntil time.Time
@@ -37,13 +53,13 @@
 	ReportedAt time.Time
 }
 
-// maxDeparted bounds the departures that are remembered. One node sees only a few servers, one
-// after the other.
-const maxDeparted = 64
+// maxKnown bounds the departures and the replaced incarnations that are remembered. One node sees
+// only a few servers, one after the other.
+const maxKnown = 64
 
-// confirmingReports is the number of reports that prove that a server has not left while the
-// departures recorded by earlier processes are unknown: a server that has left sends no more
-// reports, but one of its reports may have been delayed.
+// confirmingReports is the number of reports in a row that prove that an incarnation is alive. One
+// report may have been delayed until after the end of its sender; an incarnation that is alive sends
+// the next one soon.
 const confirmingReports = 2
 
 // Registry holds the reports received at one server address. It is not safe for concurrent use.
@@ -56,21 +72,34 @@
 	reports int
 	// departuresUnknown is set until the departures that earlier processes recorded are known.
 	departuresUnknown bool
-	// departed are the incarnations that left, oldest first.
-	departed []Incarnation
+	// contested is set from the departure of another incarnation with the ID of the current one until
+	// the current one reports again: only one of the two is alive.
+	contested bool
+	// rival is an incarnation that has reported since the last report of the current one.
+	rival rival
+	// departed are the incarnations that left, and replaced those that another one has taken the place
+	// of, both oldest first.
+	departed, replaced []Incarnation
+}
+
+// rival is an incarnation that may take the place of the current one.
+type rival struct {
+	incarnation Incarnation
+	sequence    uint64
+	reports     int
 }
 
 // New returns a registry for the servers of one service.
 func New(service string) *Registry { return &Registry{service: service} }
 
-// AwaitDepartures notes that earlier processes of the node may have recorded departures that are
+// AwaitDepartures notes that earlier processes of the node may have acknowledged departures that are
 // not known yet. Until DeparturesLoaded, one report is not enough to use a server.
 func (r *Registry) AwaitDepartures() { r.departuresUnknown = true }
 
 // DeparturesLoaded ends AwaitDepartures.
 func (r *Registry) DeparturesLoaded() {
 	r.departuresUnknown = false
-	r.current.Unconfirmed = false
+	r.updateConfirmed()
 }
 
 // RestoreDeparture adds an incarnation that left while an earlier process of the node ran.
@@ -81,35 +110,34 @@
 	}
 }
 
-// LastDeparted returns the incarnation that left last.
-func (r *Registry) LastDeparted() (Incarnation, bool) {
-	if len(r.departed) == 0 {
-		return Incarnation{}, false
-	}
-	return r.departed[len(r.departed)-1], true
-}
+// Departed returns the incarnations that left, oldest first.
+func (r *Registry) Departed() []Incarnation { return slices.Clone(r.departed) }
 
 // Heartbeat records a report. It returns false for a report that is invalid or of another service;
-// a late report is accepted but changes nothing.
+// a late report is accepted but changes nothing, unless it reports a departure.
 func (r *Registry) Heartbeat(now time.Time, report Report) bool {
 	if report.Service != r.service || report.Slots < 1 || report.ID == "" || report.Addr == "" {
 		return false
 	}
 	incarnation := Incarnation{ID: report.ID, StartedMs: report.StartedMs}
-	switch {
-	case r.known && incarnation == r.current.Incarnation:
-		if report.Sequence <= r.sequence {
-			return true
+	isCurrent := r.known && incarnation == r.current.Incarnation
+	if isCurrent && report.Sequence <= r.sequence {
+		return true
+	}
+	if r.known && !isCurrent && !r.replaces(incarnation, report.Sequence) {
+		if report.Leaving {
+			r.depart(incarnation)
 		}
-	case r.known && !r.replaces(incarnation):
 		return true
 	}
 	if report.Leaving {
 		r.recordDeparture(incarnation)
 	}
-	if !r.known || r.current.Incarnation != incarnation {
-		r.reports = 0
+	if !isCurrent {
+		r.replaceCurrent()
 	}
+	r.rival = rival{}
+	r.contested = false
 	r.reports++
 	r.known = true
 	r.sequence = report.Sequence
@@ -118,36 +146,73 @@
 		Addr:        report.Addr,
 		Slots:       report.Slots,
 		Leaving:     r.hasLeft(incarnation),
-		Unconfirmed: r.departuresUnknown && r.reports < confirmingReports,
 		ReportedAt:  now,
 	}
+	r.updateConfirmed()
 	if report.WarmUp > 0 {
 		r.current.WarmUntil = now.Add(report.WarmUp)
 	}
 	return true
 }
 
-// replaces reports whether an incarnation other than the current one is newer. Without start times
-// the order of arrival decides.
-func (r *Registry) replaces(next Incarnation) bool {
-	if next.StartedMs == 0 || r.current.StartedMs == 0 {
-		return !r.hasLeft(next)
+func (r *Registry) updateConfirmed() {
+	r.current.Unconfirmed = r.contested || r.departuresUnknown && r.reports < confirmingReports
+}
+
+// replaces reports whether an incarnation takes the place of the current one. A new one with a later
+// start time does at once. But start times are taken from the clock of an instance, which may step
+// back, so any other one does when it goes on reporting while the current one is silent.
+func (r *Registry) replaces(next Incarnation, sequence uint64) bool {
+	if r.hasLeft(next) {
+		return false
+	}
+	later := next.StartedMs == 0 || r.current.StartedMs == 0 || next.StartedMs > r.current.StartedMs
+	if later && !slices.Contains(r.replaced, next) {
+		return true
+	}
+	switch {
+	case r.rival.incarnation != next:
+		r.rival = rival{incarnation: next, sequence: sequence, reports: 1}
+	case sequence > r.rival.sequence:
+		r.rival.sequence = sequence
+		r.rival.reports++
 	}
-	return next.StartedMs > r.current.StartedMs
+	return r.rival.reports >= confirmingReports
 }
 
-// Deregister records the departure of an incarnation. A start time of 0 stands for the current
-// incarnation of the ID. The result is always true, even for an incarnation that is not known.
-func (r *Registry) Deregister(id string, startedMs int64) bool {
+// replaceCurrent makes room for the first report of another incarnation, whose earlier reports as a
+// rival count.
+func (r *Registry) replaceCurrent() {
+	if r.known && !slices.Contains(r.replaced, r.current.Incarnation) {
+		r.replaced = appendBounded(r.replaced, r.current.Incarnation)
+	}
+	r.reports = max(r.rival.reports-1, 0)
+}
+
+// Deregister records the departure of an incarnation and returns it. A start time of 0 stands for the
+// current incarnation of the ID.
+func (r *Registry) Deregister(id string, startedMs int64) Incarnation {
 	incarnation := Incarnation{ID: id, StartedMs: startedMs}
 	if startedMs == 0 && r.known && r.current.ID == id {
 		incarnation.StartedMs = r.current.StartedMs
 	}
+	r.depart(incarnation)
+	return incarnation
+}
+
+// depart records a departure. Requests name only the ID of a server, so the departure of another
+// incarnation of the current ID keeps requests from the current one until it reports again.
+func (r *Registry) depart(incarnation Incarnation) {
 	r.recordDeparture(incarnation)
-	if r.known && r.current.Incarnation == incarnation {
+	if !r.known || r.current.ID != incarnation.ID {
+		return
+	}
+	if r.current.Incarnation == incarnation {
 		r.current.Leaving = true
+		return
 	}
-	return true
+	r.contested = true
+	r.updateConfirmed()
 }
 
 // MarkDeparted records the departure of the current incarnation after its responses showed that it
@@ -163,20 +228,20 @@
 func (r *Registry) Current() (Server, bool) { return r.current, r.known }
 
 func (r *Registry) recordDeparture(departed Incarnation) {
-	if r.hasLeft(departed) {
-		return
-	}
-	r.departed = append(r.departed, departed)
-	if len(r.departed) > maxDeparted {
-		r.departed = r.departed[1:]
+	if !r.hasLeft(departed) {
+		r.departed = appendBounded(r.departed, departed)
 	}
 }
 
 func (r *Registry) hasLeft(incarnation Incarnation) bool {
-	for _, departed := range r.departed {
-		if departed == incarnation {
-			return true
-		}
+	return slices.Contains(r.departed, incarnation)
+}
+
+// appendBounded appends to a list and drops its oldest entries beyond maxKnown.
+func appendBounded(list []Incarnation, next Incarnation) []Incarnation {
+	list = append(list, next)
+	if len(list) > maxKnown {
+		list = slices.Delete(list, 0, len(list)-maxKnown)
 	}
-	return false
+	return list
 }
--- /dev/null
+++ b/internal/sidecar/departurekeeper.go
@@ -0,0 +1,380 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tarragonford/tarragonford/internal/beacon"
+	"github.com/tarragonford/tarragonford/internal/platform"
+	"github.com/tarragonford/tarragonford/internal/registration"
+)
+
+// Kinds of calls between nodes about departures.
+const (
+	// callHoldDeparture asks a node to remember a departure; the payload is a heldDeparture.
+	callHoldDeparture beacon.CallKind = 3
+	// callHeldDepartures asks a node for the departures that it holds for the node named in the
+	// payload; the reply is a list of incarnations.
+	callHeldDepartures beacon.CallKind = 4
+)
+
+const (
+	// departureHolders is the number of other nodes that hold a departure; more than one, because any
+	// of them may end before the node asks for it.
+	departureHolders = 2
+	// recordedDepartures bounds the departures in the row of a node and in one reply.
+	recordedDepartures = 8
+	// departureAckWait is how long the acknowledgement of a departure waits until something outside
+	// the process holds it. The server waits a second for its acknowledgement.
+	departureAckWait = 800 * time.Millisecond
+	// askHoldersInterval is the pause between two rounds in which a started node asks the others for
+	// departures, and askHoldersTime the time after which it no longer waits for the rest.
+	askHoldersInterval = 200 * time.Millisecond
+	askHoldersTime     = 1500 * time.Millisecond
+)
+
+// departureKeeper makes the departures of the local server outlive the process: it writes them to the
+// store, has other nodes hold them, and collects them after a start. A departure is acknowledged once
+// the store or other nodes have it.
+type departureKeeper struct {
+	node    string
+	source  Source
+	control *ControlLoop
+	calls   *calls
+	log     *zap.Logger
+	// firstStart is set if no earlier process of the node has run.
+	firstStart bool
+	held       *heldDepartures
+
+	mu sync.Mutex
+	// saved holds a channel for each departure that is being saved or was; it is closed once
+	// something outside the process has the departure.
+	saved map[registration.Incarnation]chan struct{}
+
+	// row serialises the changes of the node's row. While rowKnown is set, recorded and version are
+	// what it holds.
+	row      sync.Mutex
+	rowKnown bool
+	recorded []registration.Incarnation
+	version  uint64
+
+	// rowRead and holdersAsked are set once the departures that earlier processes recorded have been
+	// collected from the store and from the other nodes.
+	rowRead, holdersAsked atomic.Bool
+}
+
+func newDepartureKeeper(node string, firstStart bool, source Source, control *ControlLoop, calls *calls, log *zap.Logger) *departureKeeper {
+	k := &departureKeeper{
+		node: node, firstStart: firstStart, source: source, control: control, calls: calls, log: log,
+		held: newHeldDepartures(), saved: map[registration.Incarnation]chan struct{}{},
+		// Before the first start, there is no row.
+		rowKnown: firstStart,
+	}
+	calls.handlers[callHoldDeparture] = k.held.handleHold
+	calls.handlers[callHeldDepartures] = k.held.handleAsk
+	return k
+}
+
+// save begins to save a departure, unless it has begun already. The channel is closed once something
+// outside the process has the departure.
+func (k *departureKeeper) save(ctx context.Context, departed registration.Incarnation) <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if done, ok := k.saved[departed]; ok {
+		return done
+	}
+	done := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(done) })
+	k.saved[departed] = done
+	go func() {
+		if k.record(ctx, departed) {
+			finish()
+		}
+	}()
+	go func() {
+		if k.handOver(ctx, departed) {
+			finish()
+		}
+	}()
+	return done
+}
+
+// saveAndWait saves a departure and reports whether something outside the process has it within
+// departureAckWait. Saving goes on until ctx ends.
+func (k *departureKeeper) saveAndWait(ctx context.Context, departed registration.Incarnation) bool {
+	select {
+	case <-k.save(ctx, departed):
+		return true
+	case <-time.After(departureAckWait):
+		k.log.Warn("departure not acknowledged: neither the store nor other nodes have it", zap.String("server", departed.ID))
+		return false
+	}
+}
+
+// record adds a departure to the node's row and retries until that succeeds or ctx ends.
+func (k *departureKeeper) record(ctx context.Context, departed registration.Incarnation) bool {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		err := k.addToRow(ctx, departed)
+		if err == nil {
+			return true
+		}
+		k.log.Warn("departure not recorded", zap.String("server", departed.ID), zap.Error(err))
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return false
+}
+
+// addToRow writes the row under the condition that it is as it was read, so that no departure in it is
+// lost. The other departures of the row are kept.
+func (k *departureKeeper) addToRow(ctx context.Context, departed registration.Incarnation) error {
+	k.row.Lock()
+	defer k.row.Unlock()
+	if !k.rowKnown {
+		if err := k.readRow(ctx); err != nil {
+			return err
+		}
+	}
+	if slices.Contains(k.recorded, departed) {
+		return nil
+	}
+	next := append(slices.Clone(k.recorded), departed)
+	next = next[max(len(next)-recordedDepartures, 0):]
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	// Whatever the result, the version of the row is no longer known.
+	k.rowKnown = false
+	checks := []platform.Check{{Key: k.node, Version: k.version}}
+	return k.source.Transact(ctx, TableDepartures, checks, []platform.Write{{Key: k.node, Value: value}})
+}
+
+// readRow reads the node's row. The caller holds k.row.
+func (k *departureKeeper) readRow(ctx context.Context) error {
+	row, err := k.source.Get(ctx, TableDepartures, k.node)
+	if errors.Is(err, platform.ErrNotFound) {
+		k.rowKnown, k.recorded, k.version = true, nil, 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	recorded, err := decodeDepartures(row.Value)
+	if err != nil {
+		k.log.Error("invalid departure record of an earlier process", zap.Error(err))
+	}
+	k.rowKnown, k.recorded, k.version = true, recorded, row.Version
+	return nil
+}
+
+// decodeDepartures decodes the value of a row: a list, or one incarnation as earlier versions of the
+// program wrote it.
+func decodeDepartures(value []byte) ([]registration.Incarnation, error) {
+	var list []registration.Incarnation
+	if err := json.Unmarshal(value, &list); err == nil {
+		return list, nil
+	}
+	var single registration.Incarnation
+	if err := json.Unmarshal(value, &single); err != nil {
+		return nil, err
+	}
+	return []registration.Incarnation{single}, nil
+}
+
+// restoreRow applies the departures that earlier processes wrote to the store, unless that was done
+// before. It returns false if the store does not answer.
+func (k *departureKeeper) restoreRow(ctx context.Context) bool {
+	if k.firstStart || k.rowRead.Load() {
+		return true
+	}
+	k.row.Lock()
+	err := k.readRow(ctx)
+	recorded := k.recorded
+	k.row.Unlock()
+	if err != nil {
+		k.log.Warn("departures recorded by an earlier process are not known", zap.Error(err))
+		return false
+	}
+	if !k.rowRead.Swap(true) {
+		k.restore(recorded)
+	}
+	return true
+}
+
+// restoreUntilRead calls restoreRow until the store answers.
+func (k *departureKeeper) restoreUntilRead(ctx context.Context) {
+	for loaded := false; !loaded && ctx.Err() == nil; loaded = k.restoreRow(ctx) {
+		sleep(ctx, maxBackoff/2+rand.N(maxBackoff))
+	}
+}
+
+// restore applies departures, and allows the use of the server once both sources have been asked.
+func (k *departureKeeper) restore(departed []registration.Incarnation) {
+	complete := k.rowRead.Load() && k.holdersAsked.Load()
+	k.control.pending <- func(s *state) {
+		for _, incarnation := range departed {
+			s.registry.RestoreDeparture(incarnation)
+		}
+		if complete {
+			s.registry.DeparturesLoaded()
+		}
+	}
+}
+
+// handOver has other nodes hold a departure. It returns true once enough of them do, or all there are.
+func (k *departureKeeper) handOver(ctx context.Context, departed registration.Incarnation) bool {
+	payload, err := json.Marshal(heldDeparture{Node: k.node, Departed: departed})
+	if err != nil {
+		k.log.Error("failed to encode departure", zap.Error(err))
+		return false
+	}
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		holders := 0
+		peers := k.holders()
+		for _, p := range peers {
+			if _, err := k.calls.do(ctx, callHoldDeparture, p.addr, payload); err == nil {
+				holders++
+			}
+			if holders >= min(departureHolders, len(peers)) {
+				return true
+			}
+		}
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return false
+}
+
+// holders returns the nodes that hold the departures of this node, in random order: those of its data
+// centre, or all others if there are too few of them.
+func (k *departureKeeper) holders() []peer {
+	view := k.control.View()
+	peers := slices.Clone(view.localPeers)
+	if len(peers) < departureHolders {
+		for _, remote := range view.remotePeers {
+			peers = append(peers, remote...)
+		}
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers
+}
+
+// askHolders collects the departures that other nodes hold for this one. All but one of the nodes must
+// answer, since departureHolders of them held a departure, but the node does not wait for them longer
+// than askHoldersTime.
+func (k *departureKeeper) askHolders(ctx context.Context) {
+	if k.firstStart || k.holdersAsked.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askHoldersTime)
+	defer cancel()
+	missing := k.holders()
+	for allowed := min(departureHolders-1, len(missing)); len(missing) > allowed && ctx.Err() == nil; {
+		missing = k.askRound(ctx, missing)
+		if len(missing) > allowed {
+			sleep(ctx, askHoldersInterval)
+		}
+	}
+	if len(missing) > 0 {
+		k.log.Info("departures held by other nodes", zap.Int("nodes_without_answer", len(missing)))
+	}
+	k.holdersAsked.Store(true)
+	k.restore(nil)
+}
+
+// askRound asks nodes at the same time and returns those that did not answer.
+func (k *departureKeeper) askRound(ctx context.Context, peers []peer) []peer {
+	var mu sync.Mutex
+	var missing []peer
+	var group sync.WaitGroup
+	for _, p := range peers {
+		group.Go(func() {
+			reply, err := k.calls.do(ctx, callHeldDepartures, p.addr, []byte(k.node))
+			departed, decodeErr := decodeDepartures(reply)
+			if err != nil || decodeErr != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				missing = append(missing, p)
+				return
+			}
+			if len(departed) > 0 {
+				k.log.Info("departure held by another node", zap.String("holder", p.id), zap.Int("departures", len(departed)))
+				k.restore(departed)
+			}
+		})
+	}
+	group.Wait()
+	return missing
+}
+
+// heldDeparture is a departure that one node holds for another.
+type heldDeparture struct {
+	Node     string                   `json:"node"`
+	Departed registration.Incarnation `json:"departed"`
+}
+
+// maxHeldNodes bounds the nodes whose departures are held.
+const maxHeldNodes = 1024
+
+// heldDepartures are the departures that this node holds for others until it ends.
+type heldDepartures struct {
+	mu     sync.Mutex
+	byNode map[string][]registration.Incarnation
+	// order lists the nodes by their first departure, oldest first.
+	order []string
+	// onHold is called with each departure.
+	onHold func(node string, departed registration.Incarnation)
+}
+
+func newHeldDepartures() *heldDepartures {
+	return &heldDepartures{byNode: map[string][]registration.Incarnation{}, onHold: func(string, registration.Incarnation) {}}
+}
+
+func (h *heldDepartures) handleHold(_ time.Time, _ beacon.NodeHash, payload []byte) []byte {
+	var held heldDeparture
+	if err := json.Unmarshal(payload, &held); err != nil || held.Node == "" {
+		return nil
+	}
+	h.hold(held)
+	h.onHold(held.Node, held.Departed)
+	return nil
+}
+
+func (h *heldDepartures) hold(held heldDeparture) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list, known := h.byNode[held.Node]
+	if slices.Contains(list, held.Departed) {
+		return
+	}
+	if !known {
+		h.order = append(h.order, held.Node)
+	}
+	list = append(list, held.Departed)
+	h.byNode[held.Node] = list[max(len(list)-recordedDepartures, 0):]
+	if len(h.order) > maxHeldNodes {
+		delete(h.byNode, h.order[0])
+		h.order = h.order[1:]
+	}
+}
+
+func (h *heldDepartures) handleAsk(_ time.Time, _ beacon.NodeHash, payload []byte) []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	reply, err := json.Marshal(slices.Concat([]registration.Incarnation{}, h.byNode[string(payload)]))
+	if err != nil {
+		return nil
+	}
+	return reply
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -79,6 +79,8 @@
 	syncer   *syncer
 	entry    *entry
 	beacons  *beacons
+	// departures saves the departures of the local server.
+	departures *departureKeeper
 	// bodies bounds the total memory of all bodies.
 	bodies *limit.BodyMemory
 	// lifetime is cancelled when the process ends.
@@ -133,6 +135,9 @@
 	n.beacons.self, n.beacons.control, n.beacons.gate, n.beacons.picker = self, n.control, n.gate, n.picker
 	n.beacons.log = n.log
 	n.beacons.calls = newCalls(self, n.log, n.beacons.sendCall)
+	n.departures = newDepartureKeeper(s.Node, s.FirstStart, deps.Source, n.control, n.beacons.calls, n.log)
+	n.departures.held.onHold = n.entry.departures.record
+	n.syncer.departures = n.departures
 	n.beacons.onVersions = func(configuration, members uint64, addr string) {
 		n.syncer.onPeerVersions(n.lifetime, configuration, members, addr)
 	}
@@ -169,6 +174,9 @@
 	if before.MemberIndex != after.MemberIndex || before.MembersKnown() != after.MembersKnown() {
 		n.updateRetryBudget(after)
 	}
+	if !before.MembersKnown() && after.MembersKnown() {
+		go n.departures.askHolders(n.lifetime)
+	}
 	if before.Server == after.Server {
 		return
 	}
@@ -186,7 +194,7 @@
 			zap.Bool("leaving", after.Server.Leaving), zap.Int("slots", after.Server.Slots))
 	}
 	if after.Server.Leaving && (fresh || !before.Server.Leaving) {
-		go n.syncer.saveDeparture(n.lifetime, after.Server.Incarnation)
+		n.departures.save(n.lifetime, after.Server.Incarnation)
 	}
 }
 
@@ -252,29 +260,41 @@
 // TakeConfiguration applies an encoded configuration if it is newer than the current one.
 func (n *Node) TakeConfiguration(document []byte) { n.syncer.applyDocument(document, "call") }
 
-// Heartbeat processes a report of the local server. It returns false if the report was not
-// accepted.
-func (n *Node) Heartbeat(report registration.Report) bool {
+// Heartbeat processes a report of the local server. A report that the server is leaving is accepted
+// once something outside the process has the departure.
+func (n *Node) Heartbeat(report registration.Report) registration.Ack {
 	accepted := false
 	ctx, cancel := context.WithTimeout(n.lifetime, registrationTimeout)
 	defer cancel()
 	err := n.control.Do(ctx, func(s *state) { accepted = s.heartbeat(time.Now(), report) })
 	if err != nil || !accepted {
 		n.log.Warn("report not taken", zap.String("server", report.ID), zap.Uint64("sequence", report.Sequence), zap.Error(err))
+		return registration.Rejected
+	}
+	if report.Leaving {
+		return n.saveDeparture(registration.Incarnation{ID: report.ID, StartedMs: report.StartedMs})
 	}
-	return err == nil && accepted
+	return registration.Accepted
 }
 
-// Deregister records that a server is leaving. It returns false if the control goroutine did not
-// respond in time.
-func (n *Node) Deregister(id string, born int64) bool {
+// Deregister records that a server is leaving. The result is Accepted once something outside the
+// process has the departure.
+func (n *Node) Deregister(id string, born int64) registration.Ack {
 	ctx, cancel := context.WithTimeout(n.lifetime, registrationTimeout)
 	defer cancel()
-	err := n.control.Do(ctx, func(s *state) { s.registry.Deregister(id, born) })
-	if err != nil {
+	var departed registration.Incarnation
+	if err := n.control.Do(ctx, func(s *state) { departed = s.registry.Deregister(id, born) }); err != nil {
 		n.log.Warn("deregistration not processed", zap.String("server", id), zap.Error(err))
+		return registration.Unsaved
+	}
+	return n.saveDeparture(departed)
+}
+
+func (n *Node) saveDeparture(departed registration.Incarnation) registration.Ack {
+	if !n.departures.saveAndWait(n.lifetime, departed) {
+		return registration.Unsaved
 	}
-	return err == nil
+	return registration.Accepted
 }
 
 // forgetServer drops a server incarnation whose address is used by another one.
@@ -319,7 +339,7 @@
 	group.Go(func() error { n.syncer.syncConfiguration(ctx); return nil })
 	group.Go(func() error { n.syncer.syncMembers(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
-	go n.syncer.restoreDeparture(ctx)
+	go n.departures.restoreUntilRead(ctx)
 	group.Go(func() error {
 		select {
 		case <-stop:
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -15,12 +15,10 @@
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
 	"github.com/tarragonford/tarragonford/internal/platform"
-	"github.com/tarragonford/tarragonford/internal/registration"
 )
 
 const (
-	// TableMembers holds one row per node; TableDepartures holds, per node, the last server that
-	// left.
+	// TableMembers holds one row per node; TableDepartures holds, per node, the last servers that left.
 	TableMembers    = "members"
 	TableDepartures = "left"
 	// watchTime is the mean time that the store holds most watches without changes. A fraction of
@@ -79,9 +77,8 @@
 	// fetching is set while another node is being asked for its state.
 	fetching atomic.Bool
 	// role tells whether this node should watch the store.
-	role watcherRole
-	// departureLoaded is set once the departure recorded by an earlier process has been read.
-	departureLoaded atomic.Bool
+	role       watcherRole
+	departures *departureKeeper
 	// unreadableTables counts the tables whose last read failed.
 	unreadableTables atomic.Int32
 	// readConfiguration triggers a read of the configuration from the store.
@@ -257,7 +254,7 @@
 	s.syncTable(ctx, TableMembers, membersPause, nil, func(rows []platform.Row, changes []platform.Change, version uint64) {
 		// The store is reachable at this point, and a ready node must know whether its server has
 		// left.
-		s.readDeparture(ctx)
+		s.departures.restoreRow(ctx)
 		update := s.decodeMembers(rows, changes, version)
 		s.control.pending <- func(state *state) { state.mergeMembers(update) }
 		if !s.control.View().Leaving && s.lacksSelf(update) {
@@ -317,16 +314,6 @@
 	s.persist(ctx, TableMembers, platform.Write{Key: s.self.ID})
 }
 
-// saveDeparture records that a server incarnation left, for later processes of this node.
-func (s *syncer) saveDeparture(ctx context.Context, departed registration.Incarnation) {
-	value, err := json.Marshal(departed)
-	if err != nil {
-		s.log.Error("failed to encode departure", zap.Error(err))
-		return
-	}
-	s.persist(ctx, TableDepartures, platform.Write{Key: s.self.ID, Value: value})
-}
-
 // persist makes an idempotent write and retries until it succeeds.
 func (s *syncer) persist(ctx context.Context, table string, write platform.Write) {
 	backoff := minBackoff
@@ -341,48 +328,6 @@
 	}
 }
 
-// restoreDeparture reads which server left while an earlier process of this node ran. It retries
-// until the store answers, unless the first read of the members table has done so.
-func (s *syncer) restoreDeparture(ctx context.Context) {
-	for loaded := false; !loaded && ctx.Err() == nil; loaded = s.readDeparture(ctx) {
-		sleep(ctx, maxBackoff/2+rand.N(maxBackoff))
-	}
-}
-
-// readDeparture reads the departure recorded by an earlier process, unless it was read already. It
-// returns false if the store does not answer.
-func (s *syncer) readDeparture(ctx context.Context) bool {
-	if s.settings.FirstStart || s.departureLoaded.Load() {
-		return true
-	}
-	row, err := s.source.Get(ctx, TableDepartures, s.self.ID)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		s.log.Warn("leaves of an earlier process are not known", zap.Error(err))
-		return false
-	}
-	if !s.departureLoaded.Swap(true) {
-		s.applyDeparture(row.Value)
-	}
-	return true
-}
-
-// applyDeparture applies the departure recorded by an earlier process; value is empty if there is
-// none.
-func (s *syncer) applyDeparture(value []byte) {
-	var departed registration.Incarnation
-	if len(value) > 0 {
-		if err := json.Unmarshal(value, &departed); err != nil {
-			s.log.Error("invalid departure record of an earlier process", zap.Error(err))
-		}
-	}
-	s.control.pending <- func(state *state) {
-		if departed.ID != "" {
-			state.registry.RestoreDeparture(departed)
-		}
-		state.registry.DeparturesLoaded()
-	}
-}
-
 // onPeerVersions processes the versions of the configuration and of the members table that another
 // node has, 0 for one that it did not announce, and fetches from that node what this one lacks.
 // Only a few nodes ask nodes of other data centres, and only if the update does not arrive by
