sidecar: a started server lifts the closed report of its own node; queues leave time before a stop

Change: the registration of a server updates the picker of its own node. The queue limit that an entry sends leaves serviceTimeFactor times the mean service time before its stop.

--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -170,6 +170,7 @@
 		// The choice accounted for a wait in the queue of this node.
 		r.queueLimit = x.maxQueueTime(now)
 	}
+	r.queueLimit = min(r.queueLimit, x.queueTimeBeforeStop(now, choice.Service))
 	r.retry = x.deliveries > 0
 	x.request.firstHop = false
 	r.departed = e.departures.of(member.ID)
@@ -215,6 +216,15 @@
 	return max(limit, 0)
 }
 
+// queueTimeBeforeStop returns how long a request may wait in the queue of a host with the given mean
+// service time, so that its run is likely to end before this node stops.
+func (x *exchange) queueTimeBeforeStop(now time.Time, service time.Duration) time.Duration {
+	if x.view.StopAt.IsZero() {
+		return math.MaxInt64
+	}
+	return max(x.view.StopAt.Sub(now)-serviceTimeFactor*service, 0)
+}
+
 func decodeReply(response *httpconn.Response) *hopReply {
 	reply := &hopReply{departed: decodeIncarnation(response.Header.Get(headerDeparted))}
 	reply.report, reply.hasReport = decodeLoadReport(response.Header.Get(headerLoad))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -186,6 +186,8 @@
 		n.gate.Close()
 	} else {
 		n.gate.Open(now, after.Server.Slots, after.Server.WarmUntil, fresh)
+		// Without this, the entry would use its last report, in which the server was closed.
+		n.picker.Report(now, n.settings.Node, after.adjustLoad(now, n.gate.Load(now)))
 		n.entry.host.logRateLimit(after.Server, "")
 	}
 	if fresh || before.Server.Leaving != after.Server.Leaving {
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -21,3 +21,15 @@
 	g.Expect(fits(200*time.Millisecond, 20*time.Millisecond)).To(BeTrue(), "short calls of the local server are accepted")
 	g.Expect((&exchange{view: &View{}}).finishesBeforeStop(time.Hour)).To(BeTrue(), "a node that is not stopping")
 }
+
+// Guards against a request that waits so long in the queue of a host that its run outlasts the node on
+// which it began (KNOWN-RED entry on two overlapping stops).
+func TestWaitInAQueueLeavesTimeToRunBeforeTheStop(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	x := &exchange{view: &View{StopAt: now.Add(5 * time.Second)}}
+	g.Expect(x.queueTimeBeforeStop(now, 700*time.Millisecond)).To(Equal(2900 * time.Millisecond))
+	g.Expect(x.queueTimeBeforeStop(now, 2*time.Second)).To(BeZero())
+	x.view = &View{}
+	g.Expect(x.queueTimeBeforeStop(now, time.Hour)).To(BeNumerically(">", time.Hour))
+}
