--- a/internal/sidecar/departurekeeper_test.go
+++ b/internal/sidecar/departurekeeper_test.go
@@ -57,10 +57,9 @@
 
 // keeperFleet is a data centre of nodes that exchange calls in memory.
 type keeperFleet struct {
-	t       *testing.T
-	mu      sync.Mutex
-	members []memberRow
-	calls   map[netip.AddrPort]*calls
+	t     *testing.T
+	mu    sync.Mutex
+	calls map[netip.AddrPort]*calls
 	// cut nodes receive no datagrams.
 	cut map[netip.AddrPort]bool
 }
