--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -13,8 +13,11 @@
 	// readinessDelay is how long a stopping node accepts requests of callers. Callers learn that
 	// it is not ready within two readiness probes, which are a second apart.
 	readinessDelay = 2500 * time.Millisecond
+	// exitMargin is the time before the stop limit by which all connections are closed. The process
+	// then ends its goroutines and writes its log, which takes some tens of ms of a slow processor.
+	exitMargin = 300 * time.Millisecond
 	// stopMargin is the time before the stop limit at which requests that still run are cut off.
-	stopMargin = 300 * time.Millisecond
+	stopMargin = exitMargin + 150*time.Millisecond
 	// lateObjectiveShare is the fraction of the time until the stop limit that the latency
 	// objective of a request may take if it arrives after readinessDelay.
 	lateObjectiveShare = 0.4
@@ -82,8 +85,8 @@
 // close closes the listeners, serves the requests read by then, and closes the connections.
 func (s *shutdown) close(ctx context.Context, servers []*http.Server) {
 	end := time.Now().Add(shutdownTimeout)
-	if s.end.Add(stopMargin / 2).Before(end) {
-		end = s.end.Add(stopMargin / 2)
+	if last := s.end.Add(stopMargin - exitMargin); last.Before(end) {
+		end = last
 	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
