httpconn: a reset that only the writer of the request sees cuts the response

Cause: the kernel reports a reset to one of a pending read and a pending write. While a request body over 4 KiB was being written, the write could get it and the read the end of the stream, which ends a body without a length. Change: after such a body the result of the write decides; a pending write is ended by its deadline.

--- a/internal/httpconn/do.go
+++ b/internal/httpconn/do.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -58,6 +59,8 @@
 	Body   []byte
 	// Reused is set if an existing connection carried the request.
 	Reused bool
+	// endedByPeer is set if the end of the connection ended the body.
+	endedByPeer bool
 }
 
 // Do sends a request and reads its response. Errors wrap ErrNotSent or ErrOutcomeUnknown. The
@@ -103,6 +106,12 @@
 	if err != nil {
 		return nil, doNotReuse, err
 	}
+	if response.endedByPeer {
+		if err := checkOrderlyEnd(c, written); err != nil {
+			return nil, doNotReuse, err
+		}
+		return response, doNotReuse, nil
+	}
 	if !stop() {
 		// ctx ended; the connection is closed or about to be.
 		reuse = doNotReuse
@@ -120,6 +129,20 @@
 	return response, reuse, nil
 }
 
+// checkOrderlyEnd returns an error if a reset ended the connection from which a body without a length
+// was read. The kernel reports a reset once. If a pending write gets the report, the read sees the end
+// of the stream as after an orderly close.
+func checkOrderlyEnd(c *conn, written <-chan error) error {
+	// Ends a write that is still pending, without an effect on one that has failed.
+	if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	if err := <-written; err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("the connection broke at the end of a body without a length: %w", err)
+	}
+	return nil
+}
+
 // writeRequest sends the request. The channel yields the result of the write, which continues in
 // the background for a long body.
 func writeRequest(c *conn, r *Request) (<-chan error, error) {
@@ -179,7 +202,10 @@
 		if mismatched > 0 {
 			reuse = doNotReuse
 		}
-		return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, reuse, nil
+		return &Response{
+			Status: response.StatusCode, Header: response.Header, Body: body,
+			endedByPeer: !isBodyless(response) && response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		}, reuse, nil
 	}
 }
 
--- a/internal/httpconn/doc.go
+++ b/internal/httpconn/doc.go
@@ -14,7 +14,10 @@
 //
 // A response that names another request is dropped and the next one is read, since
 // a duplicate response can arrive where the next one is due. A response without a
-// length ends with the connection; if a reset ends it, the response is incomplete.
+// length ends with the connection; if a reset ends it, the response is incomplete. The
+// kernel reports a reset to one of a pending read and a pending write, so both results
+// decide. A response is also dropped if the connection is closed in an orderly way and
+// reset while the request is still being written.
 //
 // # Limits
 //
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -5,10 +5,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/tarragonford/tarragonford/internal/httpconn"
 )
@@ -46,3 +48,39 @@
 	g.Expect(<-arrived).To(Equal("/second"))
 	g.Expect(arrived).To(BeEmpty())
 }
+
+// Guards against a reply of another node that is cut and looks complete: the stream is reset or the
+// connection breaks, with or without an announced length.
+func TestAReplyThatIsCutIsAnError(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		length := rapid.IntRange(1, 64<<10).Draw(rt, "length")
+		sent := rapid.IntRange(0, length-1).Draw(rt, "sent")
+		announced := rapid.Bool().Draw(rt, "announced")
+		breaks := rapid.Bool().Draw(rt, "the connection breaks")
+		requestBytes := rapid.SampledFrom([]int{0, 100, 64 << 10, 2 << 20}).Draw(rt, "request")
+		var server *httptest.Server
+		server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if announced {
+				w.Header().Set("Content-Length", strconv.Itoa(length))
+			}
+			_, _ = w.Write(make([]byte, sent))
+			w.(http.Flusher).Flush()
+			if breaks {
+				server.CloseClientConnections()
+			}
+			panic(http.ErrAbortHandler)
+		}))
+		server.Config.Protocols = new(http.Protocols)
+		server.Config.Protocols.SetUnencryptedHTTP2(true)
+		server.Start()
+		defer server.Close()
+		peers := newPeerClient()
+		defer peers.http.CloseIdleConnections()
+		response, err := peers.do(t.Context(), server.Listener.Addr().String(), &httpconn.Request{
+			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, requestBytes),
+		})
+		if err == nil {
+			rt.Fatalf("a reply cut after %d bytes was returned with %d of %d bytes", sent, len(response.Body), length)
+		}
+	})
+}
