host: a body without a length needs the request to have been written

Cause: as in httpconn, a reset can be reported to the write of the request alone; net/http then ends the body of the response as complete. Change: the end of such a body counts only after the request was written without an error. Test: TestUnframedBodyEndsWithTheResultOfTheWrite.

--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -110,8 +110,10 @@
 
 func (h *Host) send(ctx context.Context, server *attachedServer, r *forward.Request) *forward.Reply {
 	connected := false
+	written := make(chan error, 1)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn:      func(httptrace.GotConnInfo) { connected = true },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { written <- info.Err },
 	})
 	request, err := serverRequest(ctx, server, r)
 	if err != nil {
@@ -121,9 +123,43 @@
 	if err != nil {
 		return sendErrorReply(ctx, err, connected)
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		response.Body = &unframedBody{ReadCloser: response.Body, ctx: ctx, written: written}
+	}
 	return h.readReply(ctx, response, r)
 }
 
+// unframedBody is a response body that ends with the connection. The kernel reports a reset once. If
+// the pending write of the request gets the report, the end of the stream does not end the body.
+type unframedBody struct {
+	io.ReadCloser
+	ctx context.Context
+	// written yields the result of writing the request, and end is what it makes of the end of the
+	// stream.
+	written <-chan error
+	end     error
+}
+
+// Read implements io.Reader.
+func (u *unframedBody) Read(p []byte) (int, error) {
+	n, err := u.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if u.end == nil {
+		select {
+		case failed := <-u.written:
+			u.end = io.EOF
+			if failed != nil {
+				u.end = io.ErrUnexpectedEOF
+			}
+		case <-u.ctx.Done():
+			u.end = u.ctx.Err()
+		}
+	}
+	return n, u.end
+}
+
 // serverRequest builds the request to the backend server. net/http may resend a
 // request by itself when a reused connection breaks. To prevent that for
 // non-idempotent requests, GetBody is nil and the key is sent in a header other than
