sidecar: a restarted node adopts its server before the server's next report

Cause: after a restart of all nodes, each refuses requests as closed until its server reports again, up to 1.5 s later.

Change: once the departures that earlier processes acknowledged are known, a restarted node asks the server for its status, which names its ID and its slots, and uses it, unless a server with that ID has left. The first report confirms the incarnation; a start time of 0 matches any.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -29,6 +29,9 @@
 	// ConnLimit bounds the connections to one server from all callers; 0 if the
 	// configuration does not set it.
 	ConnLimit int `json:"-"`
+	// HealthPath is the path at which the servers tell their state; empty if they
+	// do not.
+	HealthPath string `json:"-"`
 }
 
 // DefaultDeadline returns the time allowed for requests without a deadline.
--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -38,6 +38,11 @@
 	StartedMs int64  `json:"born"`
 }
 
+// Matches reports whether two incarnations may be the same one: a start time of 0 is unknown.
+func (i Incarnation) Matches(other Incarnation) bool {
+	return i.ID == other.ID && (i.StartedMs == other.StartedMs || i.StartedMs == 0 || other.StartedMs == 0)
+}
+
 // Server is the current incarnation of the backend server.
 type Server struct {
 	Incarnation
@@ -105,7 +110,7 @@
 // RestoreDeparture adds an incarnation that left while an earlier process of the node ran.
 func (r *Registry) RestoreDeparture(departed Incarnation) {
 	r.recordDeparture(departed)
-	if r.known && r.current.Incarnation == departed {
+	if r.known && r.current.Matches(departed) {
 		r.current.Leaving = true
 	}
 }
@@ -155,6 +160,18 @@
 	return true
 }
 
+// Adopt uses a server that answered at its address before it reported, with an unknown start time,
+// until its first report. It returns false if a server has reported, or one with that ID has left.
+func (r *Registry) Adopt(now time.Time, id, addr string, slots int) bool {
+	if r.known || slices.ContainsFunc(r.departed, func(i Incarnation) bool { return i.ID == id }) {
+		return false
+	}
+	r.known = true
+	r.current = Server{Incarnation: Incarnation{ID: id}, Addr: addr, Slots: slots, ReportedAt: now}
+	r.updateConfirmed()
+	return true
+}
+
 func (r *Registry) updateConfirmed() {
 	r.current.Unconfirmed = r.contested || r.departuresUnknown && r.reports < confirmingReports
 }
@@ -207,7 +224,7 @@
 	if !r.known || r.current.ID != incarnation.ID {
 		return
 	}
-	if r.current.Incarnation == incarnation {
+	if r.current.Matches(incarnation) {
 		r.current.Leaving = true
 		return
 	}
--- a/internal/registration/registration_test.go
+++ b/internal/registration/registration_test.go
@@ -225,3 +225,30 @@
 	g.Expect(server.Unconfirmed).To(BeFalse())
 	g.Expect(server.Leaving).To(BeTrue())
 }
+
+// Guards against an adopted server whose first report or departure is taken for that of another one.
+func TestAnAdoptedServerIsTheOneThatReportsNext(t *testing.T) {
+	g := NewWithT(t)
+	r := New("measures")
+	g.Expect(r.Adopt(start, "a", "10.0.0.1:80", 6)).To(BeTrue())
+	g.Expect(r.Adopt(start, "b", "10.0.0.1:80", 6)).To(BeFalse())
+	adopted, _ := r.Current()
+	r.Heartbeat(start, report("a", 100, 5))
+	server, _ := r.Current()
+	g.Expect(adopted.Matches(server.Incarnation)).To(BeTrue())
+
+	for _, depart := range []func(r *Registry){
+		func(r *Registry) { r.Deregister("a", 100) },
+		func(r *Registry) { r.RestoreDeparture(Incarnation{ID: "a", StartedMs: 100}) },
+		func(r *Registry) { r.Heartbeat(start, leaving(report("a", 100, 5))) },
+	} {
+		r = New("measures")
+		r.Adopt(start, "a", "10.0.0.1:80", 6)
+		depart(r)
+		server, _ = r.Current()
+		g.Expect(server.Leaving).To(BeTrue())
+		r = New("measures")
+		depart(r)
+		g.Expect(r.Adopt(start, "a", "10.0.0.1:80", 6)).To(BeFalse())
+	}
+}
--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -218,9 +218,12 @@
 	}
 }
 
+// complete reports whether the departures that earlier processes acknowledged have been collected.
+func (k *departureKeeper) complete() bool { return k.rowRead.Load() && k.holdersAsked.Load() }
+
 // restore applies departures, and allows the use of the server once both sources have been asked.
 func (k *departureKeeper) restore(departed []registration.Incarnation) {
-	complete := k.rowRead.Load() && k.holdersAsked.Load()
+	complete := k.complete()
 	k.control.pending <- func(s *state) {
 		for _, incarnation := range departed {
 			s.registry.RestoreDeparture(incarnation)
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -159,7 +159,7 @@
 // since then, the request is refused.
 func (h *host) run(ctx context.Context, server registration.Server, ticket *gate.Ticket, r *hopRequest) *hopReply {
 	current := h.control.View().Server
-	if !h.gate.IsOpen() || current.Incarnation != server.Incarnation || ctx.Err() != nil {
+	if !h.gate.IsOpen() || !current.Matches(server.Incarnation) || ctx.Err() != nil {
 		h.gate.Cancel(time.Now(), ticket)
 		return refuse(gate.Closed, 0)
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -81,6 +81,8 @@
 	beacons  *beacons
 	// departures saves the departures of the local server.
 	departures *departureKeeper
+	// status sends status requests to the local server.
+	status *http.Client
 	// bodies bounds the total memory of all bodies.
 	bodies *limit.BodyMemory
 	// lifetime is cancelled when the process ends.
@@ -135,6 +137,7 @@
 	n.beacons.self, n.beacons.control, n.beacons.gate, n.beacons.picker = self, n.control, n.gate, n.picker
 	n.beacons.log = n.log
 	n.beacons.calls = newCalls(self, n.log, n.beacons.sendCall)
+	n.status = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
 	n.departures = newDepartureKeeper(s.Node, s.FirstStart, deps.Source, n.control, n.beacons.calls, n.log)
 	n.departures.held.onHold = n.entry.departures.record
 	n.syncer.departures = n.departures
@@ -181,7 +184,7 @@
 		return
 	}
 	now := time.Now()
-	fresh := before.Server.Incarnation != after.Server.Incarnation
+	fresh := !before.Server.Matches(after.Server.Incarnation)
 	if after.Server.Leaving || after.Server.Unconfirmed {
 		n.gate.Close()
 	} else {
@@ -342,6 +345,9 @@
 	group.Go(func() error { n.syncer.syncMembers(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
 	go n.departures.restoreUntilRead(ctx)
+	if !n.settings.FirstStart {
+		go n.adoptServer(ctx)
+	}
 	group.Go(func() error {
 		select {
 		case <-stop:
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -138,6 +138,9 @@
 	NotRun(status int, h http.Header) bool
 	// ServerNotice returns what the server says about itself in a response.
 	ServerNotice(h http.Header) ServerNotice
+	// ServerStatus returns the ID and the slots of the server that responded to a status request,
+	// or false if the response does not tell both.
+	ServerStatus(h http.Header) (id string, slots int, ok bool)
 	// Signed reports whether a response originates from a backend server.
 	Signed(h http.Header) bool
 	// SetRetryAfter sets the time after which a refused request may be repeated.
