--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -37,7 +37,7 @@
 	departureAckWait = 800 * time.Millisecond
 	// askHoldersInterval is the pause between two rounds in which a started node asks the others for
 	// departures, and askHoldersTime the time after which it no longer waits for the rest.
-	askHoldersInterval = 200 * time.Millisecond
+	askHoldersInterval = 100 * time.Millisecond
 	askHoldersTime     = 1500 * time.Millisecond
 )
 
@@ -273,9 +273,9 @@
 	return peers
 }
 
-// askHolders collects the departures that other nodes hold for this one. All but one of the nodes must
-// answer, since departureHolders of them held a departure, but the node does not wait for them longer
-// than askHoldersTime.
+// askHolders collects the departures that other nodes hold for this one. A node that does not answer
+// several calls has ended, and with it what it held, or is cut off, so an answer of half of the nodes is
+// enough. The node does not wait for them longer than askHoldersTime.
 func (k *departureKeeper) askHolders(ctx context.Context) {
 	if k.firstStart || k.holdersAsked.Load() {
 		return
@@ -283,10 +283,10 @@
 	ctx, cancel := context.WithTimeout(ctx, askHoldersTime)
 	defer cancel()
 	missing := k.holders()
-	for allowed := min(departureHolders-1, len(missing)); len(missing) > allowed && ctx.Err() == nil; {
+	for allowed := len(missing) / 2; ; sleep(ctx, askHoldersInterval) {
 		missing = k.askRound(ctx, missing)
-		if len(missing) > allowed {
-			sleep(ctx, askHoldersInterval)
+		if len(missing) <= allowed || ctx.Err() != nil {
+			break
 		}
 	}
 	if len(missing) > 0 {
