sidecar: space the watches of the store between the watchers

Cause: after a change all nodes started their watches together, with lengths drawn at random.

Change: watchers tell in beacons when they next ask the store, and place their own next read into the largest gap (package currency). With three watchers that hear each other a watch starts every 3.6 s.

--- a/internal/currency/spacing.go
+++ b/internal/currency/spacing.go
@@ -12,7 +12,7 @@
 	// maxGap is the longest time between the reads of minSpaced watchers or more. A change must be
 	// in force 2 s after its acknowledgement, which may come 3 s after an outage of the store; the
 	// rest of the 5 s is for the way to the other nodes.
-	maxGap = 3400 * time.Millisecond
+	maxGap = 3600 * time.Millisecond
 	// minSpaced is the number of watchers from which on maxGap holds. Fewer ones would need more
 	// reads each.
 	minSpaced = 3
@@ -40,6 +40,12 @@
 	return min(time.Duration(max(watchers, minSpaced))*maxGap, maxPeriod)
 }
 
+// placeByRank returns the time from a moment at which all watchers begin to the place of this one.
+func (w Watchers) placeByRank() time.Duration {
+	count := len(w.NextReads) + 1
+	return Period(count) / time.Duration(count) * time.Duration(w.Rank+1)
+}
+
 // NextRead returns the time until this watcher should next ask the store, after a read that starts
 // now. changed tells that a change ended the watches of all watchers.
 func (w Watchers) NextRead(changed bool) time.Duration {
@@ -54,18 +60,19 @@
 		changed = changed || place <= together || place >= period-together
 		places = append(places, place)
 	}
-	if count == 1 {
+	switch {
+	case count == 1:
 		return period
+	case changed:
+		return w.placeByRank()
 	}
-	if changed {
-		return gap * time.Duration(w.Rank+1)
-	}
-	return largestGap(places, period)
+	// A place just ahead is the one where this watcher is now.
+	return largestGap(places, period, gap/2)
 }
 
-// largestGap returns the middle of the largest gap between places on a circle, above 0 and at most
-// period.
-func largestGap(places []time.Duration, period time.Duration) time.Duration {
+// largestGap returns the middle of the largest gap between places on a circle, as a time above
+// least and at most a period later.
+func largestGap(places []time.Duration, period, least time.Duration) time.Duration {
 	slices.Sort(places)
 	last := places[len(places)-1] - period
 	var widest, middle time.Duration
@@ -75,7 +82,7 @@
 		}
 		last = place
 	}
-	if middle <= 0 {
+	if middle <= least {
 		middle += period
 	}
 	return middle
--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tarragonford/tarragonford/internal/beacon"
+	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/pick"
 )
@@ -31,8 +32,8 @@
 	// watcherCount is the number of nodes of a data centre that watch the store. It is more than
 	// one because any of them may have lost its watch without noticing. A report older than
 	// watcherReportMaxAge does not count.
-	watcherCount        = 8
-	watcherReportMaxAge = 2500 * time.Millisecond
+	watcherCount = 8
+	watcherReportMaxAge    = 2500 * time.Millisecond
 	// refreshInterval is the longest time between two beacons of a node.
 	refreshInterval = time.Second
 	// urgentRelays is the number of nodes of another data centre that receive a beacon about a
@@ -55,6 +56,8 @@
 	onVersions func(configuration, members uint64, addr string)
 	// watching reports whether this node watches the store.
 	watching func() bool
+	// untilReads returns the times until this node next asks the store.
+	untilReads func(now time.Time) [beacon.WatchedTables]time.Duration
 	// onLoad is called whenever this node sends a beacon with its own load.
 	onLoad func()
 
@@ -207,7 +210,7 @@
 func (b *beacons) loadDatagram(now time.Time, view *View) beacon.Datagram {
 	key := beacon.HashNode(b.self.ID)
 	load := view.adjustLoad(now, b.gate.Load(now))
-	own := beacon.AgedReport{Report: beacon.Report{Node: key, Stamp: beacon.StampOf(now), Load: load, FollowsStore: b.watching()}}
+	own := beacon.AgedReport{Report: beacon.Report{Node: key, Stamp: beacon.StampOf(now), Load: load, FollowsStore: b.watching(), NextReads: b.untilReads(now)}}
 	b.table.Update(now, own)
 	return beacon.Datagram{Sender: key, Version: view.configVersion(), MembersVersion: view.MembersNewest, Reports: []beacon.AgedReport{own}}
 }
@@ -231,6 +234,30 @@
 	return heard < watcherCount
 }
 
+// otherWatchers implements watcherRole.
+func (b *beacons) otherWatchers(table int) currency.Watchers {
+	now := time.Now()
+	view := b.control.View()
+	heard := b.table.Followers(now, view.localKeys[1:], watcherReportMaxAge)
+	if !currency.EnoughLocal(len(heard)) {
+		var all []beacon.NodeHash
+		for key, member := range view.byKey {
+			if member.ID != b.self.ID {
+				all = append(all, key)
+			}
+		}
+		heard = b.table.Followers(now, all, watcherReportMaxAge)
+	}
+	watchers := currency.Watchers{}
+	for _, report := range heard {
+		if report.Node < view.localKeys[0] {
+			watchers.Rank++
+		}
+		watchers.NextReads = append(watchers.NextReads, report.NextReads[table]-report.Age)
+	}
+	return watchers
+}
+
 // configVersion returns the version of the configuration in force; 0 if there is none.
 func (v *View) configVersion() uint64 {
 	if v.Config == nil {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -136,7 +136,7 @@
 	n.beacons.onVersions = func(configuration, members uint64, addr string) {
 		n.syncer.onPeerVersions(n.lifetime, configuration, members, addr)
 	}
-	n.beacons.watching = n.syncer.watching
+	n.beacons.watching, n.beacons.untilReads = n.syncer.watching, n.syncer.untilReads
 	n.beacons.onLoad = func() { n.entry.host.logHealthChange("", gate.None) }
 	return n
 }
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -12,6 +12,8 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/tarragonford/tarragonford/internal/beacon"
+	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
 	"github.com/tarragonford/tarragonford/internal/platform"
@@ -23,13 +25,11 @@
 	// left.
 	TableMembers    = "members"
 	TableDepartures = "left"
-	// watchTime is the mean time that the store holds most watches without changes. A fraction of
-	// shortWatchShare uses shortWatchTime instead. A watch that the store loses without notice
-	// hangs until its timeout, and all nodes often start their watches at the same moment, right
-	// after a change. The nodes with a short watch then detect the loss early and tell the others.
-	watchTime       = 12 * time.Second
-	shortWatchTime  = time.Second
-	shortWatchShare = 0.2
+	// watchJitter is the fraction by which the length of a watch varies. It is small, because the
+	// watches of several nodes are spaced evenly.
+	watchJitter = 0.005
+	// minWatch is the shortest time that a watch waits for changes.
+	minWatch = 200 * time.Millisecond
 	// membersPause batches the changes of many members into one response. configurationPause does
 	// the same for a series of configurations; it is well below the time within which one must be
 	// in force.
@@ -80,6 +80,8 @@
 	fetching atomic.Bool
 	// role tells whether this node should watch the store.
 	role watcherRole
+	// nextReads are the times of the next reads of the watched tables, by the index of the table.
+	nextReads [beacon.WatchedTables]atomic.Pointer[time.Time]
 	// departureLoaded is set once the departure recorded by an earlier process has been read.
 	departureLoaded atomic.Bool
 	// unreadableTables counts the tables whose last read failed.
@@ -97,20 +99,37 @@
 	shouldWatch() bool
 	// isPreferred reports whether the node is one of the watchers when all nodes can watch.
 	isPreferred() bool
+	// otherWatchers returns the other nodes that watch the store and when they next ask it for the
+	// table with the index.
+	otherWatchers(table int) currency.Watchers
+}
+
+// Indexes of the watched tables in beacons.
+const (
+	configurationIndex = iota
+	membersIndex
+)
+
+func indexOf(table string) int {
+	if table == TableMembers {
+		return membersIndex
+	}
+	return configurationIndex
 }
 
 // syncTable reads a table and applies its changes until ctx ends. A few nodes of each data centre
 // watch the table. The others learn of changes from them, and read it at intervals or on request.
 func (s *syncer) syncTable(ctx context.Context, table string, pause time.Duration, pollNow <-chan struct{}, apply func(rows []platform.Row, changes []platform.Change, version uint64)) {
-	version, loaded, down := uint64(0), false, false
+	version, loaded, down, changed := uint64(0), false, false, false
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		wait := s.watchTimeout(down)
+		wait := s.planWatch(table, down, changed, pause)
 		if loaded && !down && !s.role.shouldWatch() {
 			s.waitForPoll(ctx, pollNow)
 			wait = 0
 		}
-		err := s.readOrWatch(ctx, table, &version, &loaded, wait, apply)
+		var err error
+		changed, err = s.readOrWatch(ctx, table, &version, &loaded, wait, apply)
 		if err == nil {
 			if down {
 				s.unreadableTables.Add(-1)
@@ -169,38 +188,57 @@
 // watching reports whether the node currently watches the store.
 func (s *syncer) watching() bool { return s.unreadableTables.Load() == 0 && s.role.shouldWatch() }
 
-// watchTimeout returns how long the next watch waits for a change. While the store is unavailable
-// it does not wait at all, to detect early that the store is back.
-func (s *syncer) watchTimeout(storeDown bool) time.Duration {
+// planWatch returns how long the next watch of a table waits for a change, if the last read was
+// followed by a pause. changed tells that the last read brought a change, which ended the watches of
+// all nodes. While the store is unavailable a watch does not wait at all, to detect early that the
+// store is back.
+func (s *syncer) planWatch(table string, storeDown, changed bool, pause time.Duration) time.Duration {
 	if storeDown {
 		return 0
 	}
-	mean := watchTime
-	if s.random() < shortWatchShare {
-		mean = shortWatchTime
+	next := s.role.otherWatchers(indexOf(table)).NextRead(changed)
+	wait := max(time.Duration((1-watchJitter+2*watchJitter*s.random())*float64(next))-pause, minWatch)
+	s.planRead(table, wait+pause)
+	return wait
+}
+
+// planRead records when this node next asks the store for a table, for the beacons.
+func (s *syncer) planRead(table string, in time.Duration) {
+	at := time.Now().Add(in)
+	s.nextReads[indexOf(table)].Store(&at)
+}
+
+// untilReads returns the times until this node next asks the store for each table.
+func (s *syncer) untilReads(now time.Time) (until [beacon.WatchedTables]time.Duration) {
+	for i := range until {
+		if at := s.nextReads[i].Load(); at != nil {
+			until[i] = at.Sub(now)
+		}
 	}
-	return time.Duration((0.75 + s.random()/2) * float64(mean))
+	return until
 }
 
-func (s *syncer) readOrWatch(ctx context.Context, table string, version *uint64, loaded *bool, wait time.Duration, apply func([]platform.Row, []platform.Change, uint64)) error {
+// readOrWatch reads the whole table, or its changes once it was read. It reports whether there were
+// any.
+func (s *syncer) readOrWatch(ctx context.Context, table string, version *uint64, loaded *bool, wait time.Duration, apply func([]platform.Row, []platform.Change, uint64)) (changed bool, err error) {
 	if !*loaded {
 		rows, at, err := s.source.Snapshot(ctx, table)
 		if err != nil {
-			return err
+			return false, err
 		}
 		*version, *loaded = at, true
 		apply(rows, nil, at)
-		return nil
+		return true, nil
 	}
 	changes, next, err := s.source.Watch(ctx, table, *version, wait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	*version = next
 	if len(changes) > 0 {
 		apply(nil, changes, next)
 	}
-	return nil
+	return len(changes) > 0, nil
 }
 
 // sleep returns after the duration or at the end of ctx.
