sidecar: refuse account keys while the age of the configuration is unknown

Cause: with fail_closed a node kept accepting the keys of its configuration however long it had not heard from the store, so that a withdrawn key stayed good on a node that was cut off, suspended or restarted.

Change: a node holds proofs of its configuration's age, from its own reads of the store or from other nodes by calls of kind 1, timed from the question by a clock that counts suspension. It answers 503 to requests with a key once the proof is three quarters of revoke_s old. Two watchers of each data centre read the configuration every fifth of revoke_s in this mode. Off without fail_closed or accounts.

--- a/internal/sidecar/accounts.go
+++ b/internal/sidecar/accounts.go
@@ -18,7 +18,7 @@
 		name, _ := config.Keys.Find(key)
 		return AccountName{InUse: true, Name: name}, nil
 	}
-	if !x.entry.keysConfirmed() {
+	if !x.entry.keysConfirmed(config.Version) {
 		return AccountName{InUse: true}, codes.KeysUnconfirmed.New("configuration %d has not been confirmed lately", config.Version)
 	}
 	name, known := config.Keys.Find(key)
--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -33,6 +33,9 @@
 	// one because any of them may have lost its watch without noticing. A report older than
 	// watcherReportMaxAge does not count.
 	watcherCount = 8
+	// confirmingWatcherCount takes the place of watcherCount while the watchers also prove every
+	// second that the configuration is the newest. A lost watch then ends after some seconds.
+	confirmingWatcherCount = 2
 	watcherReportMaxAge    = 2500 * time.Millisecond
 	// refreshInterval is the longest time between two beacons of a node.
 	refreshInterval = time.Second
@@ -56,6 +59,8 @@
 	onVersions func(configuration, members uint64, addr string)
 	// watching reports whether this node watches the store.
 	watching func() bool
+	// confirming reports whether the watchers prove that the configuration is the newest.
+	confirming func() bool
 	// untilReads returns the times until this node next asks the store.
 	untilReads func(now time.Time) [beacon.WatchedTables]time.Duration
 	// onLoad is called whenever this node sends a beacon with its own load.
@@ -225,13 +230,21 @@
 // shouldWatch implements watcherRole.
 func (b *beacons) shouldWatch() bool {
 	_, watchers := b.table.CountRecent(time.Now(), b.control.View().keysBefore, watcherReportMaxAge)
-	return watchers < watcherCount
+	return watchers < b.watcherCount()
 }
 
 // isPreferred implements watcherRole.
 func (b *beacons) isPreferred() bool {
 	heard, _ := b.table.CountRecent(time.Now(), b.control.View().keysBefore, watcherReportMaxAge)
-	return heard < watcherCount
+	return heard < b.watcherCount()
+}
+
+// watcherCount returns the number of nodes of a data centre that watch the store.
+func (b *beacons) watcherCount() int {
+	if b.confirming() {
+		return confirmingWatcherCount
+	}
+	return watcherCount
 }
 
 // otherWatchers implements watcherRole.
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -48,9 +48,9 @@
 	bodies     *limit.BodyMemory
 	// onVersion is called with the configuration version of another node.
 	onVersion func(version uint64, inbound string)
-	// keysConfirmed reports whether the account keys of the configuration in force are recent
+	// keysConfirmed reports whether the account keys of a version of the configuration are recent
 	// enough to accept requests by them.
-	keysConfirmed func() bool
+	keysConfirmed func(version uint64) bool
 }
 
 // exchange is the state of one caller request while it is being served.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/tarragonford/tarragonford/internal/beacon"
+	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
 	"github.com/tarragonford/tarragonford/internal/limit"
@@ -79,6 +81,8 @@
 	syncer   *syncer
 	entry    *entry
 	beacons  *beacons
+	// confirmations is nil unless keys must be refused when their age is unknown.
+	confirmations *confirmations
 	// bodies bounds the total memory of all bodies.
 	bodies *limit.BodyMemory
 	// lifetime is cancelled when the process ends.
@@ -115,15 +119,16 @@
 	})
 	n.peers = newPeerClient()
 	n.bodies = limit.NewBodyMemory(bodyMemory(s))
+	n.confirmations = n.newConfirmations()
 	n.syncer = &syncer{
 		self: self, settings: s, control: n.control, source: deps.Source,
 		configuration: deps.Configuration, peers: n.peers, log: n.log, random: rand.Float64,
-		role: n.beacons, readConfiguration: make(chan struct{}, 1),
+		role: n.beacons, readConfiguration: make(chan struct{}, 1), confirmations: n.confirmations,
 	}
 	n.entry = &entry{
 		settings: s, control: n.control, picker: n.picker, splitter: n.splitter, peers: n.peers,
 		headers: deps.Headers, log: n.log, telemetry: deps.Telemetry, bodies: n.bodies,
-		keysConfirmed: func() bool { return true },
+		keysConfirmed: n.confirmations.confirmed,
 		onVersion:     n.onPeerVersion, sizes: responseSizes{mean: map[string]float64{}}, departures: newDepartures(),
 		host: &host{
 			control: n.control, gate: n.gate, pool: n.servers, headers: deps.Headers, addr: s.ServerAddr,
@@ -136,11 +141,29 @@
 	n.beacons.onVersions = func(configuration, members uint64, addr string) {
 		n.syncer.onPeerVersions(n.lifetime, configuration, members, addr)
 	}
-	n.beacons.watching, n.beacons.untilReads = n.syncer.watching, n.syncer.untilReads
+	n.beacons.watching, n.beacons.untilReads, n.beacons.confirming = n.syncer.watching, n.syncer.untilReads, n.confirmations.active
+	if n.confirmations != nil {
+		n.beacons.calls.handlers[callConfirm] = n.confirmations.answer
+	}
 	n.beacons.onLoad = func() { n.entry.host.logHealthChange("", gate.None) }
 	return n
 }
 
+// newConfirmations returns the proofs of the configuration's age; nil if none are needed.
+func (n *Node) newConfirmations() *confirmations {
+	if !n.settings.FailClosed {
+		return nil
+	}
+	return &confirmations{
+		policy: currency.Policy{Within: n.settings.RevokeWithin}, control: n.control, log: n.log,
+		metrics: n.deps.Telemetry.Metrics, clock: sinceBoot, candidates: n.beacons.confirmCandidates,
+		ask: func(ctx context.Context, to netip.AddrPort) ([]byte, error) {
+			return n.beacons.calls.do(ctx, callConfirm, to, nil)
+		},
+		onVersion: n.onPeerVersion,
+	}
+}
+
 // bodyMemory returns the limit for all bodies together in bytes.
 func bodyMemory(s Settings) int64 {
 	if s.Memory <= 0 {
@@ -319,6 +342,9 @@
 	group.Go(func() error { n.syncer.syncConfiguration(ctx); return nil })
 	group.Go(func() error { n.syncer.syncMembers(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
+	if n.confirmations != nil {
+		group.Go(func() error { n.confirmations.run(ctx); return nil })
+	}
 	go n.syncer.restoreDeparture(ctx)
 	group.Go(func() error {
 		select {
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -80,6 +80,11 @@
 	fetching atomic.Bool
 	// role tells whether this node should watch the store.
 	role watcherRole
+	// confirmations holds the proofs of the age of the configuration; nil if none are needed.
+	confirmations *confirmations
+	// storedConfiguration is the newest version of the configuration that this node has read from
+	// the store. Only syncConfiguration uses it.
+	storedConfiguration uint64
 	// nextReads are the times of the next reads of the watched tables, by the index of the table.
 	nextReads [beacon.WatchedTables]atomic.Pointer[time.Time]
 	// departureLoaded is set once the departure recorded by an earlier process has been read.
@@ -128,6 +133,7 @@
 			s.waitForPoll(ctx, pollNow)
 			wait = 0
 		}
+		asked, clockRead := s.confirmations.clockNow()
 		var err error
 		changed, err = s.readOrWatch(ctx, table, &version, &loaded, wait, apply)
 		if err == nil {
@@ -135,6 +141,9 @@
 				s.unreadableTables.Add(-1)
 				s.log.Info("dependency regained", zap.String("dependency", "store"), zap.String("table", table))
 			}
+			if clockRead && table == s.configuration.Table {
+				s.confirmStored(asked)
+			}
 			down, backoff = false, minBackoff
 			sleep(ctx, pause)
 			continue
@@ -154,6 +163,13 @@
 	}
 }
 
+// confirmStored adds the proof that no configuration was newer than the newest one read from the
+// store when the store was asked. The control goroutine applies that configuration first.
+func (s *syncer) confirmStored(asked time.Duration) {
+	proof := currency.Proof{Version: s.storedConfiguration, At: asked}
+	s.control.pending <- func(*state) { s.confirmations.add(proof, confirmedByStore) }
+}
+
 // maxBackoffFor bounds the pause after a failed call. Nodes that already have the table leave it
 // to the preferred watchers to detect early that the store is back.
 func (s *syncer) maxBackoffFor(loaded bool) time.Duration {
@@ -196,7 +212,15 @@
 	if storeDown {
 		return 0
 	}
-	next := s.role.otherWatchers(indexOf(table)).NextRead(changed)
+	var next time.Duration
+	if table == s.configuration.Table && s.confirmations.active() {
+		if s.confirmations.due() {
+			return 0
+		}
+		next = s.confirmations.policy.WatchPeriod()
+	} else {
+		next = s.role.otherWatchers(indexOf(table)).NextRead(changed)
+	}
 	wait := max(time.Duration((1-watchJitter+2*watchJitter*s.random())*float64(next))-pause, minWatch)
 	s.planRead(table, wait+pause)
 	return wait
@@ -267,15 +291,18 @@
 	if row.Key != s.configuration.Key {
 		return
 	}
-	s.applyDocument(row.Value, "store")
+	if version, valid := s.applyDocument(row.Value, "store"); valid {
+		s.storedConfiguration = max(s.storedConfiguration, version)
+	}
 }
 
-// applyDocument puts a configuration in force if it is newer than the current one.
-func (s *syncer) applyDocument(document []byte, from string) {
+// applyDocument puts a configuration in force if it is newer than the current one. It returns the
+// version of the document, or false if it is invalid.
+func (s *syncer) applyDocument(document []byte, from string) (version uint64, valid bool) {
 	config, err := s.configuration.Decode(document)
 	if err != nil {
 		s.log.Error("invalid configuration", zap.String("from", from), zap.Error(err))
-		return
+		return 0, false
 	}
 	s.control.pending <- func(state *state) {
 		if state.config != nil && config.Version <= state.config.Version {
@@ -284,6 +311,7 @@
 		state.config, state.document = config, document
 		s.log.Info("configuration in force", zap.Uint64("version", config.Version), zap.String("from", from))
 	}
+	return config.Version, true
 }
 
 // syncMembers writes the row of this node and keeps the list of members up to date.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -75,6 +75,10 @@
 	GossipSent, GossipReceived Counter
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion Gauge
+	// ConfirmationAge is the time in ms since the configuration in force was last proved to be the
+	// newest; Confirmations counts these proofs by source, "store" or "node".
+	ConfirmationAge Gauge
+	Confirmations   *CounterVec[string]
 	// PlatformCalls counts calls to the platform by operation and result.
 	PlatformCalls *CounterVec[PlatformCall]
 	// CutOff counts requests interrupted by a node shutdown or a broken connection.
@@ -100,6 +104,7 @@
 		Fences:              newCounterVec(oneLabel("result")),
 		InvariantViolations: newCounterVec(oneLabel("invariant")),
 		Transitions:         newCounterVec(oneLabel("state")),
+		Confirmations:       newCounterVec(oneLabel("source")),
 		PlatformCalls:       newCounterVec(platformLabels),
 	}
 	if err := m.addHistograms(meter); err != nil {
--- a/internal/telemetry/series.go
+++ b/internal/telemetry/series.go
@@ -48,6 +48,8 @@
 		counterSeries("tarragon_gossip_sent", "Gossip bytes sent.", "By", &m.GossipSent),
 		counterSeries("tarragon_gossip_received", "Gossip bytes received.", "By", &m.GossipReceived),
 		gaugeSeries("tarragon_config_version", "Version of the configuration in force.", "", &m.ConfigVersion),
+		gaugeSeries("tarragon_config_confirmation_age", "Time since the configuration in force was last proved to be the newest.", "ms", &m.ConfirmationAge),
+		counterVecSeries("tarragon_config_confirmations", "Proofs that the configuration is the newest, by source.", m.Confirmations),
 		counterVecSeries("tarragon_platform_calls", "Calls to the platform by operation and result.", m.PlatformCalls),
 		counterSeries("tarragon_cut_off", "Requests interrupted by a node shutdown or a broken connection.", "", &m.CutOff),
 	}
