--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -12,6 +12,8 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/tarragonford/tarragonford/internal/beacon"
+	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
 	"github.com/tarragonford/tarragonford/internal/platform"
@@ -21,13 +23,11 @@
 	// TableMembers holds one row per node; TableDepartures holds, per node, the last servers that left.
 	TableMembers    = "members"
 	TableDepartures = "left"
-	// watchTime is the mean time that the store holds most watches without changes. A fraction of
-	// shortWatchShare uses shortWatchTime instead. A watch that the store loses without notice
-	// hangs until its timeout, and all nodes often start their watches at the same moment, right
-	// after a change. The nodes with a short watch then detect the loss early and tell the others.
-	watchTime       = 12 * time.Second
-	shortWatchTime  = time.Second
-	shortWatchShare = 0.2
+	// watchJitter is the fraction by which the length of a watch varies. It is small, because the
+	// watches of several nodes are spaced evenly.
+	watchJitter = 0.005
+	// minWatch is the shortest time that a watch waits for changes.
+	minWatch = 200 * time.Millisecond
 	// membersPause batches the changes of many members into one response. configurationPause does
 	// the same for a series of configurations; it is well below the time within which one must be
 	// in force.
@@ -77,7 +77,14 @@
 	// fetching is set while another node is being asked for its state.
 	fetching atomic.Bool
 	// role tells whether this node should watch the store.
-	role       watcherRole
+	role watcherRole
+	// confirmations holds the proofs of the age of the configuration; nil if none are needed.
+	confirmations *confirmations
+	// storedConfiguration is the newest version of the configuration that this node has read from
+	// the store. Only syncConfiguration uses it.
+	storedConfiguration uint64
+	// nextReads are the times of the next reads of the watched tables, by the index of the table.
+	nextReads  [beacon.WatchedTables]atomic.Pointer[time.Time]
 	departures *departureKeeper
 	// unreadableTables counts the tables whose last read failed.
 	unreadableTables atomic.Int32
@@ -94,25 +101,46 @@
 	shouldWatch() bool
 	// isPreferred reports whether the node is one of the watchers when all nodes can watch.
 	isPreferred() bool
+	// otherWatchers returns the other nodes that watch the store and when they next ask it for the
+	// table with the index.
+	otherWatchers(table int) currency.Watchers
+}
+
+// Indexes of the watched tables in beacons.
+const (
+	configurationIndex = iota
+	membersIndex
+)
+
+func indexOf(table string) int {
+	if table == TableMembers {
+		return membersIndex
+	}
+	return configurationIndex
 }
 
 // syncTable reads a table and applies its changes until ctx ends. A few nodes of each data centre
 // watch the table. The others learn of changes from them, and read it at intervals or on request.
 func (s *syncer) syncTable(ctx context.Context, table string, pause time.Duration, pollNow <-chan struct{}, apply func(rows []platform.Row, changes []platform.Change, version uint64)) {
-	version, loaded, down := uint64(0), false, false
+	version, loaded, down, changed := uint64(0), false, false, false
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		wait := s.watchTimeout(down)
+		wait := s.planWatch(table, down, changed, pause)
 		if loaded && !down && !s.role.shouldWatch() {
 			s.waitForPoll(ctx, pollNow)
 			wait = 0
 		}
-		err := s.readOrWatch(ctx, table, &version, &loaded, wait, apply)
+		asked, clockRead := s.confirmations.clockNow()
+		var err error
+		changed, err = s.readOrWatch(ctx, table, &version, &loaded, wait, apply)
 		if err == nil {
 			if down {
 				s.unreadableTables.Add(-1)
 				s.log.Info("dependency regained", zap.String("dependency", "store"), zap.String("table", table))
 			}
+			if clockRead && table == s.configuration.Table {
+				s.confirmStored(asked)
+			}
 			down, backoff = false, minBackoff
 			sleep(ctx, pause)
 			continue
@@ -132,6 +160,13 @@
 	}
 }
 
+// confirmStored adds the proof that no configuration was newer than the newest one read from the
+// store when the store was asked. The control goroutine applies that configuration first.
+func (s *syncer) confirmStored(asked time.Duration) {
+	proof := currency.Proof{Version: s.storedConfiguration, At: asked}
+	s.control.pending <- func(*state) { s.confirmations.add(proof, confirmedByStore) }
+}
+
 // maxBackoffFor bounds the pause after a failed call. Nodes that already have the table leave it
 // to the preferred watchers to detect early that the store is back.
 func (s *syncer) maxBackoffFor(loaded bool) time.Duration {
@@ -166,38 +201,65 @@
 // watching reports whether the node currently watches the store.
 func (s *syncer) watching() bool { return s.unreadableTables.Load() == 0 && s.role.shouldWatch() }
 
-// watchTimeout returns how long the next watch waits for a change. While the store is unavailable
-// it does not wait at all, to detect early that the store is back.
-func (s *syncer) watchTimeout(storeDown bool) time.Duration {
+// planWatch returns how long the next watch of a table waits for a change, if the last read was
+// followed by a pause. changed tells that the last read brought a change, which ended the watches of
+// all nodes. While the store is unavailable a watch does not wait at all, to detect early that the
+// store is back.
+func (s *syncer) planWatch(table string, storeDown, changed bool, pause time.Duration) time.Duration {
 	if storeDown {
 		return 0
 	}
-	mean := watchTime
-	if s.random() < shortWatchShare {
-		mean = shortWatchTime
+	var next time.Duration
+	if table == s.configuration.Table && s.confirmations.active() {
+		if s.confirmations.due() {
+			return 0
+		}
+		next = s.confirmations.policy.WatchPeriod()
+	} else {
+		next = s.role.otherWatchers(indexOf(table)).NextRead(changed)
 	}
-	return time.Duration((0.75 + s.random()/2) * float64(mean))
+	wait := max(time.Duration((1-watchJitter+2*watchJitter*s.random())*float64(next))-pause, minWatch)
+	s.planRead(table, wait+pause)
+	return wait
 }
 
-func (s *syncer) readOrWatch(ctx context.Context, table string, version *uint64, loaded *bool, wait time.Duration, apply func([]platform.Row, []platform.Change, uint64)) error {
+// planRead records when this node next asks the store for a table, for the beacons.
+func (s *syncer) planRead(table string, in time.Duration) {
+	at := time.Now().Add(in)
+	s.nextReads[indexOf(table)].Store(&at)
+}
+
+// untilReads returns the times until this node next asks the store for each table.
+func (s *syncer) untilReads(now time.Time) (until [beacon.WatchedTables]time.Duration) {
+	for i := range until {
+		if at := s.nextReads[i].Load(); at != nil {
+			until[i] = at.Sub(now)
+		}
+	}
+	return until
+}
+
+// readOrWatch reads the whole table, or its changes once it was read. It reports whether there were
+// any.
+func (s *syncer) readOrWatch(ctx context.Context, table string, version *uint64, loaded *bool, wait time.Duration, apply func([]platform.Row, []platform.Change, uint64)) (changed bool, err error) {
 	if !*loaded {
 		rows, at, err := s.source.Snapshot(ctx, table)
 		if err != nil {
-			return err
+			return false, err
 		}
 		*version, *loaded = at, true
 		apply(rows, nil, at)
-		return nil
+		return true, nil
 	}
 	changes, next, err := s.source.Watch(ctx, table, *version, wait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	*version = next
 	if len(changes) > 0 {
 		apply(nil, changes, next)
 	}
-	return nil
+	return len(changes) > 0, nil
 }
 
 // sleep returns after the duration or at the end of ctx.
@@ -226,15 +288,18 @@
 	if row.Key != s.configuration.Key {
 		return
 	}
-	s.applyDocument(row.Value, "store")
+	if version, valid := s.applyDocument(row.Value, "store"); valid {
+		s.storedConfiguration = max(s.storedConfiguration, version)
+	}
 }
 
-// applyDocument puts a configuration in force if it is newer than the current one.
-func (s *syncer) applyDocument(document []byte, from string) {
+// applyDocument puts a configuration in force if it is newer than the current one. It returns the
+// version of the document, or false if it is invalid.
+func (s *syncer) applyDocument(document []byte, from string) (version uint64, valid bool) {
 	config, err := s.configuration.Decode(document)
 	if err != nil {
 		s.log.Error("invalid configuration", zap.String("from", from), zap.Error(err))
-		return
+		return 0, false
 	}
 	s.control.pending <- func(state *state) {
 		if state.config != nil && config.Version <= state.config.Version {
@@ -243,6 +308,7 @@
 		state.config, state.document = config, document
 		s.log.Info("configuration in force", zap.Uint64("version", config.Version), zap.String("from", from))
 	}
+	return config.Version, true
 }
 
 // syncMembers writes the row of this node and keeps the list of members up to date.
