quota: token buckets at fixed homes, and the credits of an entry

Cause: the limit of an account holds over all nodes; see docs/design/quotas.md.

Change: a pure package with the homes of an account, the bucket of a home, the purse of an entry and the messages between them. Nothing uses it yet.

--- /dev/null
+++ b/internal/quota/home.go
@@ -0,0 +1,66 @@
+package quota
+
+import "time"
+
+// settleTime is the time after a change of the members in which other nodes learn of it. A new home
+// grants nothing for it, because an earlier one may still be asked.
+const settleTime = time.Second
+
+// Home holds the buckets of the accounts that a node is a home of.
+type Home struct {
+	// since is the time from which the node counts as a home of accounts that have no bucket.
+	since   time.Duration
+	buckets map[string]*Bucket
+	// offset makes the slots of this process differ from those of an earlier one.
+	offset uint32
+}
+
+// NewHome returns the state of a process that starts now. random is a random number.
+func NewHome(now time.Duration, random uint32) *Home {
+	return &Home{since: now + settleTime, buckets: map[string]*Bucket{}, offset: random}
+}
+
+// Ask answers the call of an entry. The node must be one of the given number of homes.
+func (h *Home) Ask(now time.Duration, account string, limit Limit, homes int, ask Ask) Reply {
+	b := h.buckets[account]
+	if b == nil {
+		b = newBucket(now, h.since, limit, homes)
+		h.buckets[account] = b
+	}
+	b.setLimit(now, limit, homes)
+	granted, slot := b.grant(now, ask)
+	reply := Reply{Home: true, Granted: granted, Slot: uint32(slot) + h.offset}
+	if ask.Told > 0 {
+		b.promise(now, ask.Told)
+	}
+	if refused := ask.Waiting - granted; refused > 0 {
+		reply.Again = b.untilCredit(now)
+		booked := 0
+		if ask.Book {
+			booked = refused
+		}
+		reply.First, reply.Interval = b.promise(now, booked)
+	}
+	return reply
+}
+
+// Return takes back credits whose requests did not run.
+func (h *Home) Return(now time.Duration, account string, r Return) {
+	if b := h.buckets[account]; b != nil {
+		b.advance(now)
+		// Replies carry the low bits of the number of a slot.
+		distance := int32(r.Slot - h.offset - uint32(b.granted.first))
+		b.giveBack(now, b.granted.first+int64(distance), r.Credits)
+	}
+}
+
+// Retain drops the buckets of the accounts that the node is no home of any more after the members
+// have changed.
+func (h *Home) Retain(now time.Duration, isHome func(account string, limit Limit) bool) {
+	h.since = now + settleTime
+	for account, b := range h.buckets {
+		if !isHome(account, b.limit) {
+			delete(h.buckets, account)
+		}
+	}
+}
