sidecar: limits of accounts over all nodes

Cause: accounts ran without the limit that the configuration gives them.

Change: the entry claims a credit for each request of an account with a rate while it reads the body, and refuses what lies beyond (1005, with the time at which a credit is promised) or cannot be decided (1024). Credits of requests that did not run go back. Any node answers as a home. Metrics and log lines.

--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -116,7 +116,7 @@
 	NoServer = define(1004, "no-server", statusServiceUnavailable, NotRun,
 		"No backend server of the service can accept the request.", "Try again after a short pause.")
 	AccountLimit = define(1005, "account-limit", statusTooManyRequests, NotRun,
-		"The client account exceeds its request rate at the entry node.", "Reduce the request rate and try again.")
+		"The client account exceeds its request rate, at the entry node or over all nodes.", "Send the request again after the time in Retry-After; reduce the request rate.")
 	Overloaded = define(1006, "overloaded", statusServiceUnavailable, NotRun,
 		"No slot on a backend server became free within the deadline.", "Try again after a short pause, or set a longer deadline.")
 	Leaving = define(1007, "leaving", statusServiceUnavailable, NotRun,
@@ -149,6 +149,8 @@
 		"The route needs an account key, and the configuration in force does not contain the one that was sent.", "Send a current key of the client account.")
 	KeysUnconfirmed = define(1021, "keys-unconfirmed", statusServiceUnavailable, NotRun,
 		"The node has not heard for too long whether account keys were withdrawn.", "Use another entry address, or try again after a short pause.")
+	AccountUndecided = define(1024, "account-undecided", statusServiceUnavailable, NotRun,
+		"The node does not reach the nodes that hold the credit of the client account.", "Use another entry address, or try again after a short pause.")
 )
 
 // Requests whose outcome is unknown or whose answer was lost.
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -51,6 +51,8 @@
 	// keysConfirmed reports whether the account keys of the configuration in force are recent
 	// enough to accept requests by them.
 	keysConfirmed func() bool
+	// quotas limits the requests of accounts.
+	quotas *quotas
 }
 
 // exchange is the state of one caller request while it is being served.
@@ -77,6 +79,11 @@
 	// rateWait is the time for which the rates that the servers accept keep the request out; 0 if
 	// they do not, or not for too long.
 	rateWait time.Duration
+	// quota is the claim to a credit of the account; nil if the account has no limit.
+	quota *quotaClaim
+	// returnAfter is the time after which the caller of a request that its account may not send may
+	// return.
+	returnAfter time.Duration
 	// hops are the nodes that were asked, for the log.
 	hops []hopRecord
 }
@@ -84,12 +91,19 @@
 // ServeHTTP implements http.Handler.
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x, err := e.accept(w, r)
+	defer func() {
+		if x.attempts == 0 {
+			x.quota.giveBack()
+		}
+	}()
 	if err != nil {
 		coded := codes.FromError(err)
 		after := time.Duration(0)
 		switch coded.Code.Number {
 		case codes.Leaving.Number, codes.BodyMemory.Number, codes.KeysUnconfirmed.Number:
 			after = minRetryAfter
+		case codes.AccountLimit.Number, codes.AccountUndecided.Number:
+			after = x.returnAfter
 		}
 		e.fail(w, x, coded, after)
 		return
@@ -128,10 +142,14 @@
 	if err := x.checkStop(); err != nil {
 		return x, err
 	}
+	x.quota = e.quotas.begin(view, account)
 	body, err := x.readBody(w, r)
 	if err != nil {
 		return x, err
 	}
+	if x.returnAfter, err = x.quota.wait(r.Context(), time.Until(x.deadline)); err != nil {
+		return x, err
+	}
 	x.request.body = body
 	x.service = e.splitter.Choose(&x.route, rand.Float64)
 	x.request.hopMetadata = hopMetadata{
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -133,6 +133,7 @@
 	n.beacons.self, n.beacons.control, n.beacons.gate, n.beacons.picker = self, n.control, n.gate, n.picker
 	n.beacons.log = n.log
 	n.beacons.calls = newCalls(self, n.log, n.beacons.sendCall)
+	n.entry.quotas = newQuotas(n.lifetime, s, n.control, n.beacons.calls, n.log, deps.Telemetry.Metrics, n.bootTime)
 	n.beacons.onVersions = func(configuration, members uint64, addr string) {
 		n.syncer.onPeerVersions(n.lifetime, configuration, members, addr)
 	}
@@ -141,6 +142,15 @@
 	return n
 }
 
+// bootTime returns the time since the start of the instance. Run has checked that the clock works.
+func (n *Node) bootTime() time.Duration {
+	now, err := bootClock()
+	if err != nil {
+		panic(err)
+	}
+	return now
+}
+
 // bodyMemory returns the limit for all bodies together in bytes.
 func bodyMemory(s Settings) int64 {
 	if s.Memory <= 0 {
@@ -297,6 +307,9 @@
 // Run serves until stop yields a value, then stops gracefully. Further values have no effect.
 func (n *Node) Run(stop <-chan struct{}) error {
 	defer n.cancel()
+	if _, err := bootClock(); err != nil {
+		return trace.Wrap(err)
+	}
 	servers, listeners, err := n.listen()
 	if err != nil {
 		return trace.Wrap(err)
@@ -406,6 +419,7 @@
 			isMember := func(id string) bool { _, ok := members[id]; return ok }
 			n.picker.Retain(isMember)
 			n.entry.departures.retain(isMember)
+			n.entry.quotas.sweep()
 		}
 	}
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -48,6 +48,14 @@
 	// RateLimited counts requests that were refused because of the rates that backend servers accept,
 	// at the node beside the server or at once at the entry node.
 	RateLimited Counter
+	// QuotaCalls counts calls to homes of accounts by result, QuotaCredits the credits that this node
+	// granted as a home, QuotaReturned those that its requests gave back unused.
+	QuotaCalls                  *CounterVec[string]
+	QuotaCredits, QuotaReturned Counter
+	// QuotaRefused counts requests refused because of the limit of their account: over the limit, or
+	// undecided because no home replied. QuotaOwnPart counts those admitted without a home.
+	QuotaRefused *CounterVec[string]
+	QuotaOwnPart Counter
 	// LateAnswers counts responses dropped because nothing was waiting for them any more.
 	LateAnswers Counter
 	// WrongAnswers counts responses dropped because they carried the ID of another request.
@@ -98,6 +106,8 @@
 		Requests:            newCounterVec(resultLabels, knownResults()...),
 		HostRequests:        newCounterVec(resultLabels, knownResults()...),
 		Fences:              newCounterVec(oneLabel("result")),
+		QuotaCalls:          newCounterVec(oneLabel("result")),
+		QuotaRefused:        newCounterVec(oneLabel("reason")),
 		InvariantViolations: newCounterVec(oneLabel("invariant")),
 		Transitions:         newCounterVec(oneLabel("state")),
 		PlatformCalls:       newCounterVec(platformLabels),
