quota: callers over a limit return one by one, and tests of the sum over failures

Cause: a home that was just refilled to within a rounding error refused with a pause of 0, and a node that is a home itself then asked itself without end (TestNoWindowIsOverTheLimitOfAnAccount did not finish). Entries told their callers the same times of return until their next call. The credit of a home that its entries did not prefer went unused.

Change: a home that refuses names a pause of at least 1 ms, and more if it is called more than 200 times a second. It reserves times of return for the callers that the entry expects to refuse until its next call. Entries ask the homes in turn. Small accounts may use a quarter of the slack as burst.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -8,6 +8,9 @@
 // maxPromise bounds the time after which a refused caller is told to return.
 const maxPromise = 10 * time.Second
 
+// refusedCallRate is the number of refused calls per second that a home processes for an account.
+const refusedCallRate = 200
+
 // Bucket holds the credits of an account at one of its homes.
 type Bucket struct {
 	limit Limit
@@ -19,6 +22,8 @@
 	granted window
 	// promised is the latest time at which a refused caller was told to return.
 	promised time.Duration
+	// calls is the time in which the refused calls of entries so far were due.
+	calls time.Duration
 }
 
 // newBucket returns the bucket of a node that has been a home since the given time.
@@ -66,7 +71,7 @@
 	room := int(min(b.tokens, b.limit.perWindow(b.homes)-float64(b.granted.sum)) + rounding)
 	granted = max(min(ask.Waiting, room), 0)
 	if spare := min(room, int(b.tokens-b.limit.capacity(b.homes)/2)) - granted; granted == ask.Waiting && spare > 0 {
-		granted += min(ask.Ahead, spare)
+		granted += min(int(ask.Demand*CreditLife.Seconds()), spare)
 	}
 	b.tokens -= float64(granted)
 	return granted, b.granted.add(now+CreditLife, granted)
@@ -91,6 +96,13 @@
 	return wait
 }
 
+// untilNextCall returns the time after which an entry whose call was refused may call again, so that
+// many entries of an account over its limit do not overload its home.
+func (b *Bucket) untilNextCall(now time.Duration) time.Duration {
+	b.calls = max(b.calls, now) + time.Second/refusedCallRate
+	return b.calls - now
+}
+
 // promise returns the time until the credit of the next refused caller is there, after the credits
 // of all callers that were told to return earlier, and the time from one such caller to the next. It
 // promises the credits of some callers.
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -1,11 +1,17 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // settleTime is the time after a change of the members in which other nodes learn of it. A new home
 // grants nothing for it, because an earlier one may still be asked.
 const settleTime = time.Second
 
+// minAgain is the shortest time between two calls to a home that refuses.
+const minAgain = time.Millisecond
+
 // Home holds the buckets of the accounts that a node is a home of.
 type Home struct {
 	// since is the time from which the node counts as a home of accounts that have no bucket.
@@ -34,12 +40,11 @@
 		b.promise(now, ask.Told)
 	}
 	if refused := ask.Waiting - granted; refused > 0 {
-		reply.Again = b.untilCredit(now)
-		booked := 0
+		reply.Again = max(b.untilCredit(now), b.untilNextCall(now), minAgain)
 		if ask.Book {
-			booked = refused
+			reply.Booked = refused + int(math.Ceil(ask.Demand*reply.Again.Seconds()))
 		}
-		reply.First, reply.Interval = b.promise(now, booked)
+		reply.First, reply.Interval = b.promise(now, reply.Booked)
 	}
 	return reply
 }
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -9,7 +9,7 @@
 	// CreditLife is the time after its call for which a credit can be used. It is longer than the
 	// time that a request waits for credit.
 	CreditLife = 250 * time.Millisecond
-	// slackShare is the fraction of the slack that each use of it may take: the rounding of buckets,
+	// slackShare is the fraction of the slack that each use of it may take: the burst of small accounts,
 	// each of two restarts of all homes in one window, and nodes that reach no home.
 	slackShare = 0.25
 )
@@ -45,7 +45,9 @@
 }
 
 // capacity returns the number of credits that one of the homes can hold.
-func (l Limit) capacity(homes int) float64 { return max(l.Burst/float64(homes), 1) }
+func (l Limit) capacity(homes int) float64 {
+	return max((l.Burst+slackShare*l.Slack)/float64(homes), 1)
+}
 
 // initial returns the number of credits that one of the homes has at the start of its process.
 func (l Limit) initial(homes int) float64 {
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -8,11 +8,11 @@
 
 // Ask is the request of an entry for the credits of an account.
 type Ask struct {
-	// Waiting is the number of requests that wait for a credit, Ahead the number of credits wanted
-	// for requests to come.
-	Waiting, Ahead int
-	// Book is set if the entry will tell the requests that get no credit when to return by the
-	// promise of this home.
+	// Waiting is the number of requests that wait for a credit.
+	Waiting int
+	// Demand is the number of requests of the account that arrive at the entry per second.
+	Demand float64
+	// Book is set if the entry will tell refused callers when to return by the promise of this home.
 	Book bool
 	// Told is the number of callers that the entry told to return without booking since its last
 	// call.
@@ -29,8 +29,9 @@
 	// Again is the time after which the home can grant the next credit, if it granted too few.
 	Again time.Duration
 	// First is the time after which the first refused caller may return, Interval the time between
-	// two of them.
+	// two of them, and Booked the number of callers for which the home has reserved such times.
 	First, Interval time.Duration
+	Booked          int
 }
 
 // Return gives back credits that were granted together and whose requests did not run.
@@ -46,9 +47,12 @@
 	opBook   = 3
 )
 
+// demandScale is the resolution of a demand.
+const demandScale = 10
+
 // Sizes of payloads without the name of the account, in bytes.
 const (
-	askBytes    = 5
+	askBytes    = 6
 	replyBytes  = 17
 	returnBytes = 7
 )
@@ -59,7 +63,8 @@
 	if a.Book {
 		op = opBook
 	}
-	b := []byte{op, clampByte(a.Waiting), clampByte(a.Ahead)}
+	b := []byte{op, byte(max(0, min(a.Waiting, math.MaxUint8)))}
+	b = binary.BigEndian.AppendUint16(b, clamp16(int(a.Demand*demandScale)))
 	b = binary.BigEndian.AppendUint16(b, clamp16(a.Told))
 	return append(b, account...)
 }
@@ -75,7 +80,10 @@
 func DecodeCall(b []byte) (account string, ask *Ask, back *Return, ok bool) {
 	switch {
 	case len(b) >= askBytes && (b[0] == opAsk || b[0] == opBook):
-		ask = &Ask{Waiting: int(b[1]), Ahead: int(b[2]), Book: b[0] == opBook, Told: int(binary.BigEndian.Uint16(b[3:]))}
+		ask = &Ask{
+			Waiting: int(b[1]), Demand: float64(binary.BigEndian.Uint16(b[2:])) / demandScale,
+			Book: b[0] == opBook, Told: int(binary.BigEndian.Uint16(b[4:])),
+		}
 		return string(b[askBytes:]), ask, nil, true
 	case len(b) >= returnBytes && b[0] == opReturn:
 		back = &Return{Credits: int(binary.BigEndian.Uint16(b[1:])), Slot: binary.BigEndian.Uint32(b[3:])}
@@ -95,7 +103,7 @@
 		b = binary.BigEndian.AppendUint16(b, clamp16(int((d+time.Millisecond-1)/time.Millisecond)))
 	}
 	b = binary.BigEndian.AppendUint32(b, uint32(min(r.Interval/time.Microsecond, math.MaxUint32)))
-	return binary.BigEndian.AppendUint32(b, uint32(max(r.Granted, 0)))
+	return binary.BigEndian.AppendUint16(binary.BigEndian.AppendUint16(b, clamp16(r.Granted)), clamp16(r.Booked))
 }
 
 // DecodeReply decodes the payload of a reply; it returns false for invalid bytes.
@@ -104,16 +112,10 @@
 		return Reply{}, false
 	}
 	ms := func(at int) time.Duration { return time.Duration(binary.BigEndian.Uint16(b[at:])) * time.Millisecond }
-	granted := binary.BigEndian.Uint32(b[13:])
-	if granted > math.MaxUint16 {
-		return Reply{}, false
-	}
 	return Reply{
 		Home: b[0] == 1, Slot: binary.BigEndian.Uint32(b[1:]), Again: ms(5), First: ms(7),
-		Interval: time.Duration(binary.BigEndian.Uint32(b[9:])) * time.Microsecond, Granted: int(granted),
+		Interval: time.Duration(binary.BigEndian.Uint32(b[9:])) * time.Microsecond, Granted: int(binary.BigEndian.Uint16(b[13:])), Booked: int(binary.BigEndian.Uint16(b[15:])),
 	}, true
 }
 
-func clampByte(n int) byte { return byte(max(0, min(n, math.MaxUint8))) }
-
 func clamp16(n int) uint16 { return uint16(max(0, min(n, math.MaxUint16))) }
--- a/internal/quota/message_test.go
+++ b/internal/quota/message_test.go
@@ -12,7 +12,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		account := rapid.StringN(0, 20, 40).Draw(t, "account")
 		ask := Ask{
-			Waiting: rapid.IntRange(0, 255).Draw(t, "waiting"), Ahead: rapid.IntRange(0, 255).Draw(t, "ahead"),
+			Waiting: rapid.IntRange(0, 255).Draw(t, "waiting"), Demand: float64(rapid.IntRange(0, 65535).Draw(t, "demand")) / demandScale,
 			Told: rapid.IntRange(0, 65535).Draw(t, "told"), Book: rapid.Bool().Draw(t, "book"),
 		}
 		if name, got, _, ok := DecodeCall(ask.Encode(account)); !ok || name != account || got == nil || *got != ask {
@@ -27,7 +27,7 @@
 		}
 		reply := Reply{
 			Home: rapid.Bool().Draw(t, "home"), Granted: rapid.IntRange(0, 65535).Draw(t, "granted"), Slot: back.Slot,
-			Again: ms("again"), First: ms("first"), Interval: ms("interval"),
+			Again: ms("again"), First: ms("first"), Interval: ms("interval"), Booked: rapid.IntRange(0, 65535).Draw(t, "booked"),
 		}
 		if got, ok := DecodeReply(reply.Encode()); !ok || got != reply {
 			t.Fatalf("sent %+v, got %+v", reply, got)
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -29,10 +29,8 @@
 // homeState is what an entry knows of a home of an account.
 type homeState struct {
 	node Node
-	// asking is set while a call is on its way; slow if its reply takes long. asked is the latest
-	// call.
+	// asking is set while a call is on its way; slow if its reply takes long.
 	asking, slow bool
-	asked        Ask
 	// leftOut is the end of the time in which the home is not asked because it did not reply, and
 	// again the time from which it may grant a credit after it refused.
 	leftOut, again time.Duration
@@ -44,18 +42,23 @@
 	// booked is the number of callers that the home counts already, told that of others that were
 	// told to return since the last call.
 	booked, told int
+	// exact is set if the home counted callers of this node when it made the promise.
+	exact bool
 }
 
 // Purse holds the credits of an account at an entry node, and what the entry knows of its homes.
 type Purse struct {
 	homes []homeState
+	// first is the index of the home that is asked first. It moves on with each call, so that the
+	// credit of all homes is used alike.
+	first int
 	lots  []lot
 	// demand is the decayed number of requests until the time used.
 	demand float64
 	used   time.Duration
 }
 
-// SetHomes sets the homes, the preferred one first. Credits from earlier ones stay valid.
+// SetHomes sets the homes, the first one to be asked first. Credits from earlier ones stay valid.
 func (p *Purse) SetHomes(homes []Node) {
 	states := make([]homeState, len(homes))
 	for i, node := range homes {
@@ -64,7 +67,7 @@
 			states[i] = p.homes[at]
 		}
 	}
-	p.homes = states
+	p.homes, p.first = states, 0
 }
 
 func (p *Purse) indexOf(node Node) int {
@@ -98,16 +101,16 @@
 		return 0, Ask{}, false
 	}
 	for i := range p.homes {
-		h := &p.homes[i]
+		h := &p.homes[(p.first+i)%len(p.homes)]
 		if !h.mayAsk(now) {
 			continue
 		}
+		p.first = (p.first + i + 1) % len(p.homes)
 		h.asking, h.slow = true, false
 		ask := Ask{
-			Waiting: waiting, Ahead: int(p.demand / demandMemory.Seconds() * CreditLife.Seconds()),
-			Told: h.told, Book: !p.mayAsk(now),
+			Waiting: waiting, Demand: p.demand / demandMemory.Seconds(), Told: h.told, Book: !p.mayAsk(now),
 		}
-		h.asked, h.told, h.booked = ask, 0, 0
+		h.told, h.booked = 0, 0
 		return h.node, ask, true
 	}
 	return 0, Ask{}, false
@@ -152,10 +155,8 @@
 	h.asking, h.leftOut, h.refused = false, 0, reply.Again > 0
 	h.again = now + reply.Again
 	if h.refused {
-		h.promise, h.interval = now+reply.First, reply.Interval
-		if h.asked.Book {
-			h.booked = h.asked.Waiting - reply.Granted
-		}
+		h.promise, h.interval, h.booked = now+reply.First, reply.Interval, reply.Booked
+		h.exact = reply.Booked > 0
 	}
 }
 
@@ -202,10 +203,13 @@
 }
 
 // sooner reports whether a caller is sent to h rather than to other: to a home that counts it
-// already, or to the one with the earlier promise.
+// already, to one that counted callers of this node before, or to the one with the earlier promise.
 func (h *homeState) sooner(other *homeState) bool {
-	if (h.booked > 0) != (other.booked > 0) {
+	switch {
+	case (h.booked > 0) != (other.booked > 0):
 		return h.booked > 0
+	case h.exact != other.exact:
+		return h.exact
 	}
 	return h.promise < other.promise
 }
--- /dev/null
+++ b/internal/sidecar/quotas_test.go
@@ -0,0 +1,400 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/fleet"
+	"github.com/tarragonford/tarragonford/internal/settings"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
+)
+
+// quotaFleet connects the quotas of some nodes in virtual time.
+type quotaFleet struct {
+	t       testing.TB
+	metrics *telemetry.Metrics
+	rng     *rand.Rand
+	begun   time.Time
+	members map[string]Member
+	nodes   []*quotaNode
+	// lossRate is the fraction of datagrams that are lost, maxDelay their longest delay.
+	lossRate float64
+	maxDelay time.Duration
+	// cut reports whether no datagram passes from one node to another.
+	cut  func(from, to int) bool
+	runs []quotaRun
+}
+
+// quotaNode is a node; its process can be replaced and its instance frozen.
+type quotaNode struct {
+	number  int
+	control *ControlLoop
+	calls   *calls
+	quotas  *quotas
+	end     context.CancelFunc
+	// frozenUntil holds back what arrives and what callers send.
+	frozenUntil time.Time
+}
+
+// quotaRun is a request that ran.
+type quotaRun struct{ sent, ran time.Duration }
+
+const quotaAccount = "mill"
+
+func newQuotaFleet(t testing.TB, nodes int, rate, burst float64, seed uint64) *quotaFleet {
+	t.Helper()
+	all, err := telemetry.NewForProcess(context.Background(), telemetry.Process{Name: "test", Log: io.Discard}, settings.Node{ID: "test"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &quotaFleet{
+		t: t, metrics: all.Metrics, rng: rand.New(rand.NewPCG(seed, 1)), begun: time.Now(),
+		members: map[string]Member{}, maxDelay: 3 * time.Millisecond, cut: func(_, _ int) bool { return false },
+	}
+	for i := range nodes {
+		id := fmt.Sprintf("node-%d", i)
+		f.members[id] = Member{ID: id, Addr: fmt.Sprintf("10.0.0.%d:80", i+1), Beacon: fmt.Sprintf("10.0.0.%d:90", i+1), DataCentre: "dc", Region: "r", Service: "s"}
+	}
+	for i := range nodes {
+		n := &quotaNode{number: i, control: controlLoopOf(f.members[fmt.Sprintf("node-%d", i)], f.members)}
+		f.nodes = append(f.nodes, n)
+		n.configure(1, rate, burst)
+		f.start(n)
+	}
+	return f
+}
+
+// configure puts a limit of the account in force at a node.
+func (n *quotaNode) configure(version uint64, rate, burst float64) {
+	n.control.apply(func(s *state) {
+		s.config = &fleet.Config{Version: version, Accounts: map[string]fleet.Account{quotaAccount: {ID: quotaAccount, RatePerSecond: rate, Burst: burst}}}
+	})
+}
+
+// start replaces the process of a node.
+func (f *quotaFleet) start(n *quotaNode) {
+	if n.end != nil {
+		n.end()
+	}
+	var lifetime context.Context
+	lifetime, n.end = context.WithCancel(context.Background())
+	id := fmt.Sprintf("node-%d", n.number)
+	n.calls = newCalls(Member{ID: id}, zap.NewNop(), func(data []byte, to netip.AddrPort) error {
+		if lifetime.Err() == nil {
+			f.deliver(n.number, int(to.Addr().As4()[3])-1, slices.Clone(data))
+		}
+		return nil
+	})
+	n.quotas = newQuotas(lifetime, Settings{Node: id, QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20},
+		n.control, n.calls, zap.NewNop(), f.metrics, f.now)
+}
+
+func (f *quotaFleet) now() time.Duration { return time.Hour + time.Since(f.begun) }
+
+// deliver passes a datagram on, late, more than once, or not at all.
+func (f *quotaFleet) deliver(from, to int, data []byte) {
+	if f.cut(from, to) || f.rng.Float64() < f.lossRate {
+		return
+	}
+	n := f.nodes[to]
+	process := n.calls
+	delay := time.Duration(f.rng.Int64N(int64(f.maxDelay)))
+	time.AfterFunc(max(delay, time.Until(n.frozenUntil)), func() {
+		if n.calls == process {
+			process.receive(time.Now(), data, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(from + 1)}), 90))
+		}
+	})
+}
+
+// request sends a request to a node. It runs after the given time, or never if that is negative.
+// The result is the error with which it is refused.
+func (f *quotaFleet) request(n *quotaNode, ran time.Duration) error {
+	sent := f.now()
+	time.Sleep(time.Until(n.frozenUntil))
+	claim := n.quotas.begin(n.control.View(), AccountName{InUse: true, Name: quotaAccount})
+	_, err := claim.wait(context.Background(), time.Minute)
+	if err != nil {
+		claim.giveBack()
+		return err
+	}
+	time.Sleep(max(ran, -ran))
+	if ran < 0 {
+		claim.giveBack()
+		return nil
+	}
+	f.runs = append(f.runs, quotaRun{sent, f.now()})
+	return nil
+}
+
+// mostInAWindow returns the largest number of requests that were both sent and run in a window that
+// begins at the given time or later.
+func (f *quotaFleet) mostInAWindow(from time.Duration, length time.Duration) int {
+	most := 0
+	for _, first := range f.runs {
+		if first.sent < from {
+			continue
+		}
+		count := 0
+		for _, r := range f.runs {
+			if r.sent >= first.sent && r.ran <= first.sent+length {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+// stop ends all processes.
+func (f *quotaFleet) stop() {
+	for _, n := range f.nodes {
+		n.end()
+	}
+}
+
+// Guards against accounts over their limit when nodes are cut off from each other in halves or one
+// way, die, restart and freeze, when datagrams are lost, late or repeated, when many requests do not
+// run, and when the limit is lowered meanwhile.
+func TestNoWindowIsOverTheLimitOfAnAccount(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawQuotaPlan(rt)
+		var err error
+		synctest.Test(t, func(t *testing.T) { err = plan.play(t) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// quotaPlan is the load of an account and the failures meanwhile.
+type quotaPlan struct {
+	nodes              int
+	rate, burst, press float64
+	unserved, loss     float64
+	delay              time.Duration
+	seed               uint64
+	failures           []quotaFailure
+}
+
+type quotaFailure struct {
+	kind      string
+	at, lasts time.Duration
+	// some has a bit for each node that the failure affects.
+	some uint64
+}
+
+// quotaPlanLength is the time for which an account sends requests.
+const quotaPlanLength = 16 * time.Second
+
+func drawQuotaPlan(rt *rapid.T) quotaPlan {
+	rate := rapid.SampledFrom([]float64{0.2, 1, 5, 20, 60}).Draw(rt, "rate")
+	p := quotaPlan{
+		nodes: rapid.IntRange(1, 8).Draw(rt, "nodes"), rate: rate,
+		burst:    rate * rapid.SampledFrom([]float64{0, 0.5, 1, 2}).Draw(rt, "burst"),
+		press:    rapid.Float64Range(0.5, 6).Draw(rt, "press"),
+		unserved: rapid.SampledFrom([]float64{0, 0.2, 0.7}).Draw(rt, "not run"),
+		loss:     rapid.SampledFrom([]float64{0, 0, 0.05, 0.4}).Draw(rt, "loss"),
+		delay:    rapid.SampledFrom([]time.Duration{3, 30, 200, 900}).Draw(rt, "delay") * time.Millisecond,
+		seed:     rapid.Uint64().Draw(rt, "seed"),
+	}
+	for range rapid.IntRange(0, 6).Draw(rt, "failures") {
+		p.failures = append(p.failures, quotaFailure{
+			kind:  rapid.SampledFrom([]string{"halves", "one way", "alone", "kill", "freeze", "lower"}).Draw(rt, "kind"),
+			at:    time.Duration(rapid.IntRange(0, 14000).Draw(rt, "at")) * time.Millisecond,
+			lasts: time.Duration(rapid.IntRange(100, 6000).Draw(rt, "lasts")) * time.Millisecond,
+			some:  rapid.Uint64().Draw(rt, "some"),
+		})
+	}
+	return p
+}
+
+// play returns an error if some window is over the limit.
+func (p quotaPlan) play(t *testing.T) error {
+	f := newQuotaFleet(t, p.nodes, p.rate, p.burst, p.seed)
+	defer f.stop()
+	f.lossRate, f.maxDelay = p.loss, p.delay
+	lowered, kills := quotaPlanLength, 0
+	for _, failure := range p.failures {
+		switch failure.kind {
+		case "lower":
+			lowered = min(lowered, failure.at)
+		case "kill":
+			// Homes restart at most twice in a window; see docs/design/quotas.md.
+			if kills++; kills > 2 {
+				continue
+			}
+			fallthrough
+		default:
+			f.fail(failure)
+		}
+	}
+	const spread = 500 * time.Millisecond
+	for _, n := range f.nodes {
+		time.AfterFunc(lowered+time.Duration(f.rng.Int64N(int64(spread))), func() { n.configure(2, p.rate/4, p.burst/4) })
+	}
+	f.load(quotaPlanLength, p.rate*p.press, p.unserved, true)
+	allowed := func(rate, burst float64) float64 { return (rate*5+burst)*1.1 + 20 }
+	if got, most := f.mostInAWindow(0, 5*time.Second), allowed(p.rate, p.burst); float64(got) > most {
+		return fmt.Errorf("%d requests in a window, allowed %g", got, most)
+	}
+	after := time.Hour + lowered + spread + 5*time.Second
+	if got, most := f.mostInAWindow(after, 5*time.Second), allowed(p.rate/4, p.burst/4); float64(got) > most {
+		return fmt.Errorf("%d requests in a window after the limit was lowered, allowed %g", got, most)
+	}
+	return nil
+}
+
+// fail lets a failure begin at its time.
+func (f *quotaFleet) fail(failure quotaFailure) {
+	in := func(node int) bool { return failure.some>>node&1 == 1 }
+	each := func(do func(n *quotaNode)) {
+		for i, n := range f.nodes {
+			if in(i) {
+				time.AfterFunc(failure.at, func() { do(n) })
+			}
+		}
+	}
+	switch failure.kind {
+	case "halves":
+		f.cutDuring(failure.at, failure.lasts, func(from, to int) bool { return in(from) != in(to) })
+	case "one way":
+		f.cutDuring(failure.at, failure.lasts, func(from, to int) bool { return in(from) && !in(to) })
+	case "alone":
+		f.cutDuring(failure.at, failure.lasts, func(from, to int) bool { return from != to && (in(from) || in(to)) })
+	case "kill":
+		each(f.start)
+	case "freeze":
+		each(func(n *quotaNode) { n.frozenUntil = time.Now().Add(failure.lasts) })
+	}
+}
+
+func (f *quotaFleet) cutDuring(at, lasts time.Duration, cut func(from, to int) bool) {
+	before := f.cut
+	from := time.Now().Add(at)
+	f.cut = func(a, b int) bool {
+		since := time.Since(from)
+		return before(a, b) || since >= 0 && since < lasts && cut(a, b)
+	}
+}
+
+// load sends requests to random nodes for some time, a share of which does not run, and returns the
+// errors of those that were refused. The times between requests are exponential if random is set.
+func (f *quotaFleet) load(length time.Duration, perSecond, unserved float64, random bool) []error {
+	var refused []error
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		gap := 0.5 + f.rng.Float64()
+		if random {
+			gap = f.rng.ExpFloat64()
+		}
+		time.Sleep(time.Duration(gap / perSecond * float64(time.Second)))
+		n := f.nodes[f.rng.IntN(len(f.nodes))]
+		ran := time.Duration(f.rng.Int64N(int64(2 * time.Second)))
+		if f.rng.Float64() < unserved {
+			ran = -ran - 1
+		}
+		go func() {
+			if err := f.request(n, ran); err != nil {
+				refused = append(refused, err)
+			}
+		}()
+	}
+	// The last requests may still run.
+	time.Sleep(10 * time.Second)
+	return refused
+}
+
+// Guards against refusals of an account that stays below its limit, however small it is. An account
+// whose burst is below one request stays there only if its requests are spread.
+func TestNobodyBelowTheLimitIsRefused(t *testing.T) {
+	for _, rate := range []float64{0.16, 1, 10, 100} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newQuotaFleet(t, 20, rate, rate, 7)
+				defer f.stop()
+				time.Sleep(10 * time.Second)
+				NewWithT(t).Expect(f.load(time.Minute, rate/1.6, 0.3, rate >= 1)).To(BeEmpty())
+			})
+		})
+	}
+}
+
+// Guards against an account that loses more than the part of its home while that is away.
+func TestALostHomeIsNoticedByNobodyWithinTwoThirds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newQuotaFleet(t, 20, 50, 50, 7)
+		defer f.stop()
+		home := f.nodes[0].quotas
+		time.Sleep(10 * time.Second)
+		f.request(f.nodes[0], 0)
+		lost := home.members.homes(quotaAccount, home.accounts[quotaAccount].limit)[1]
+		number := int(home.members.addrs[lost].Addr().As4()[3]) - 1
+		f.cut = func(from, to int) bool { return from != to && (from == number || to == number) }
+		refused := f.load(20*time.Second, 50/1.8, 0, true)
+		// Callers at the node that is cut off reach one home, itself.
+		NewWithT(t).Expect(len(refused)).To(BeNumerically("<", 20*50/1.8/20))
+	})
+}
+
+// Guards against callers over the limit that are told to return before their credit is there, or all
+// at the same time.
+func TestRefusedCallersReturnOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newQuotaFleet(t, 6, 10, 10, 7)
+		defer f.stop()
+		time.Sleep(10 * time.Second)
+		var told []time.Duration
+		for i := range 80 {
+			time.Sleep(5 * time.Millisecond)
+			n := f.nodes[i%6]
+			go func() {
+				claim := n.quotas.begin(n.control.View(), AccountName{InUse: true, Name: quotaAccount})
+				after, err := claim.wait(context.Background(), time.Minute)
+				if err != nil {
+					g.Expect(codes.FromError(err).Code.Number).To(Equal(codes.AccountLimit.Number))
+					told = append(told, f.now()+after)
+				}
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		g.Expect(len(told)).To(BeNumerically(">", 40))
+		slices.Sort(told)
+		busiest := 0
+		for i := range told {
+			end, _ := slices.BinarySearch(told, told[i]+time.Second)
+			busiest = max(busiest, end-i)
+		}
+		g.Expect(busiest).To(BeNumerically("<=", 20), "callers told to return within the same second; the rate is 10")
+	})
+}
+
+// Guards against refusals that blame the caller for a node that reaches no home.
+func TestANodeWithoutHomesBlamesItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newQuotaFleet(t, 20, 10, 10, 7)
+		defer f.stop()
+		f.cut = func(from, to int) bool { return from != to }
+		errs := f.load(4*time.Second, 10, 0, true)
+		g.Expect(errs).NotTo(BeEmpty())
+		for _, err := range errs {
+			if text := err.Error(); !strings.Contains(text, "1024") {
+				// A home on its own knows one of three homes.
+				t.Errorf("refused with %s", text)
+			}
+		}
+	})
+}
