--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -29,8 +29,10 @@
 // homeState is what an entry knows of a home of an account.
 type homeState struct {
 	node Node
-	// asking is set while a call is on its way; slow if its reply takes long.
+	// asking is set while a call is on its way; slow if its reply takes long. asked is the time of the
+	// call.
 	asking, slow bool
+	asked        time.Duration
 	// leftOut is the end of the time in which the home is not asked because it did not reply, and
 	// again the time from which it may grant a credit after it refused.
 	leftOut, again time.Duration
@@ -106,7 +108,7 @@
 			continue
 		}
 		p.first = (p.first + i + 1) % len(p.homes)
-		h.asking, h.slow = true, false
+		h.asking, h.slow, h.asked = true, false, now
 		ask := Ask{
 			Waiting: waiting, Demand: p.demand / demandMemory.Seconds(), Told: h.told, Book: !p.mayAsk(now),
 		}
@@ -131,10 +133,17 @@
 	return slices.ContainsFunc(p.homes, func(h homeState) bool { return h.asking && !h.slow })
 }
 
-// MarkSlow lets other homes be asked although replies are awaited.
-func (p *Purse) MarkSlow() {
+// Pending reports whether any reply is awaited.
+func (p *Purse) Pending() bool {
+	return slices.ContainsFunc(p.homes, func(h homeState) bool { return h.asking })
+}
+
+// MarkSlow lets other homes be asked although replies to calls that are at least as old as age are
+// awaited.
+func (p *Purse) MarkSlow(now, age time.Duration) {
 	for i := range p.homes {
-		p.homes[i].slow = p.homes[i].asking
+		h := &p.homes[i]
+		h.slow = h.slow || h.asking && now-h.asked >= age
 	}
 }
 
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -31,6 +31,8 @@
 	shortRefusal = 100 * time.Millisecond
 	// endedCreditsDelay is the time after the end of credits at which they are returned.
 	endedCreditsDelay = 10 * time.Millisecond
+	// defaultQuotaWindow is used if the settings name no window.
+	defaultQuotaWindow = 5 * time.Second
 	// idleAccountTime is how long the state of an account without requests is kept.
 	idleAccountTime = time.Minute
 )
@@ -101,6 +103,9 @@
 
 func newQuotas(lifetime context.Context, s Settings, control *ControlLoop, calls *calls, log *zap.Logger, metrics *telemetry.Metrics, clock func() time.Duration) *quotas {
 	now := clock()
+	if s.QuotaWindow <= 0 {
+		s.QuotaWindow = defaultQuotaWindow
+	}
 	q := &quotas{
 		settings: s, control: control, calls: calls, log: log, metrics: metrics, clock: clock, started: now, lifetime: lifetime,
 		home: quota.NewHome(now, rand.Uint32()), accounts: map[string]*accountQuota{}, members: &quotaMembers{},
@@ -217,7 +222,7 @@
 		}
 		a.purse.Granted(now, now, home, q.answerAsk(now, a.name, ask))
 	}
-	if !a.purse.Asking() {
+	if !a.purse.Pending() {
 		for len(a.waiting) > 0 {
 			after, overLimit := a.purse.Refuse(now)
 			a.decideNext(quotaDecision{after: after, overLimit: overLimit})
@@ -369,6 +374,7 @@
 			return c.conclude(d)
 		case <-slow.C:
 			c.quotas.replySlow(c.account)
+			slow.Reset(slowReply)
 		case <-deadline.C:
 			return c.conclude(c.withdraw())
 		case <-ctx.Done():
@@ -393,7 +399,7 @@
 	now := q.clock()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	a.purse.MarkSlow()
+	a.purse.MarkSlow(now, slowReply)
 	q.pump(now, a)
 }
 
