--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -146,6 +146,7 @@
 	n.departures = newDepartureKeeper(s.Node, s.FirstStart, deps.Source, n.control, n.beacons.calls, n.log)
 	n.departures.held.onHold = n.entry.departures.record
 	n.syncer.departures = n.departures
+	n.entry.quotas = newQuotas(n.lifetime, s, n.control, n.beacons.calls, n.log, deps.Telemetry.Metrics, n.bootTime)
 	n.beacons.onVersions = func(configuration, members uint64, addr string) {
 		n.syncer.onPeerVersions(n.lifetime, configuration, members, addr)
 	}
@@ -172,6 +173,15 @@
 	}
 }
 
+// bootTime returns the time since the start of the instance. Run has checked that the clock works.
+func (n *Node) bootTime() time.Duration {
+	now, err := sinceBoot()
+	if err != nil {
+		panic(err)
+	}
+	return now
+}
+
 // bodyMemory returns the limit for all bodies together in bytes.
 func bodyMemory(s Settings) int64 {
 	if s.Memory <= 0 {
@@ -345,6 +355,9 @@
 // Run serves until stop yields a value, then stops gracefully. Further values have no effect.
 func (n *Node) Run(stop <-chan struct{}) error {
 	defer n.cancel()
+	if _, err := sinceBoot(); err != nil {
+		return trace.Wrap(err)
+	}
 	servers, listeners, err := n.listen()
 	if err != nil {
 		return trace.Wrap(err)
@@ -460,6 +473,7 @@
 			isMember := func(id string) bool { _, ok := members[id]; return ok }
 			n.picker.Retain(isMember)
 			n.entry.departures.retain(isMember)
+			n.entry.quotas.sweep()
 		}
 	}
 }
