origin: tells calls of the local server from requests of callers

Both arrive at the node beside a server and look alike.

Kinds of requests that arrive while the server is idle are sent by callers.

--- a/internal/origin/classifier.go
+++ b/internal/origin/classifier.go
@@ -9,9 +9,15 @@
 	// settleTime is the time after the end of its last request within which a server may still
 	// make calls for it.
 	settleTime = 50 * time.Millisecond
+	// startTime is the time after the start of the node for which the server may still run requests
+	// of an earlier process.
+	startTime = 5 * time.Second
 	// minIdleArrivals is the number of arrivals at an idle server that prove that callers send the
 	// kind; more than one, because a server may go on with a request that was given up.
 	minIdleArrivals = 2
+	// expectedIdleArrivals is the number of arrivals at an idle server that callers would have sent
+	// before their absence proves that the server makes the requests.
+	expectedIdleArrivals = 3
 	// halfLife is the time after which counts weigh half.
 	halfLife = 30 * time.Second
 	// maxKinds bounds the memory for kinds.
@@ -20,100 +26,111 @@
 
 // Classifier estimates whether requests come from the local server. It is safe for concurrent use.
 type Classifier struct {
-	mu sync.Mutex
-	// running tells whether the server runs a request, and since when it does or does not.
+	mu      sync.Mutex
 	running bool
-	since   time.Time
-	// idle and busy are the times in both states.
-	idle, busy time.Duration
-	halvedAt   time.Time
-	kinds      map[uint32]*arrivals
+	// since is the time up to which times are counted, and settled the one up to which an idle server
+	// counts as running.
+	since, settled time.Time
+	halvedAt       time.Time
+	kinds          map[uint32]*arrivals
 }
 
-// arrivals counts the requests of one kind.
+// arrivals counts the requests of one kind, and the time since the first of them.
 type arrivals struct {
-	idle, busy float64
+	idle, busy         float64
+	idleTime, busyTime time.Duration
+	// sentByCallers is set once the kind has had minIdleArrivals.
+	sentByCallers bool
 }
 
-// New returns a classifier for a server that runs nothing yet.
+// Estimate tells where a request comes from.
+type Estimate struct {
+	// CallProbability is the probability that the server made the request; 1 while nothing is known
+	// of its kind.
+	CallProbability float64
+	// Call is set if the arrivals of the kind show that the server makes them.
+	Call bool
+}
+
+// New returns a classifier at the start of a node.
 func New(now time.Time) *Classifier {
-	return &Classifier{since: now, halvedAt: now, kinds: map[uint32]*arrivals{}}
+	return &Classifier{since: now, settled: now.Add(startTime), halvedAt: now, kinds: map[uint32]*arrivals{}}
 }
 
 // SetRunning records whether the server runs any request.
 func (c *Classifier) SetRunning(now time.Time, running bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if running == c.running {
-		return
+	if running != c.running {
+		c.account(now)
+		c.running = running
 	}
-	c.account(now)
-	c.running, c.since = running, now
 }
 
-// account adds the time since the last change of state.
+// account adds the time since the last event to the times of all kinds.
 func (c *Classifier) account(now time.Time) {
-	elapsed := max(now.Sub(c.since), 0)
+	elapsed := now.Sub(c.since)
+	if elapsed <= 0 {
+		return
+	}
+	settling := min(elapsed, max(c.settled.Sub(c.since), 0))
 	if c.running {
-		c.busy += elapsed
-	} else {
-		c.busy += min(elapsed, settleTime)
-		c.idle += max(elapsed-settleTime, 0)
+		settling = elapsed
+		c.settled = now.Add(settleTime)
 	}
+	for _, kind := range c.kinds {
+		kind.busyTime += settling
+		kind.idleTime += elapsed - settling
+	}
+	c.since = now
 }
 
-// isIdle reports whether the server has run nothing for settleTime.
-func (c *Classifier) isIdle(now time.Time) bool { return !c.running && now.Sub(c.since) > settleTime }
-
-// Observe records a request of a kind and returns the probability that the server made it.
-func (c *Classifier) Observe(now time.Time, kind uint32) float64 {
+// Observe records a request of a kind and returns the estimate of its origin.
+func (c *Classifier) Observe(now time.Time, kind uint32) Estimate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.account(now)
 	c.halve(now)
 	known := c.kinds[kind]
 	if known == nil {
 		if len(c.kinds) >= maxKinds {
-			return 1
+			return Estimate{CallProbability: 1}
 		}
 		known = &arrivals{}
 		c.kinds[kind] = known
 	}
-	if c.isIdle(now) {
+	if !c.running && now.After(c.settled) {
 		known.idle++
-		return 0
+		known.sentByCallers = known.sentByCallers || known.idle >= minIdleArrivals
+		return Estimate{}
 	}
 	known.busy++
-	return c.probability(now, known)
+	return known.estimate()
 }
 
-// probability returns the share of the arrivals at the busy server that callers do not explain.
-func (c *Classifier) probability(now time.Time, known *arrivals) float64 {
-	if known.idle < minIdleArrivals {
-		return 1
+// estimate compares the arrivals at the busy server with those that callers explain.
+func (a *arrivals) estimate() Estimate {
+	if !a.sentByCallers {
+		expected := a.busy / max(a.busyTime, settleTime).Seconds() * a.idleTime.Seconds()
+		return Estimate{CallProbability: 1, Call: a.idle == 0 && expected >= expectedIdleArrivals}
 	}
-	idle, busy := c.idle, c.busy
-	if c.running {
-		busy += now.Sub(c.since)
-	}
-	if idle <= 0 {
-		return 1
+	if a.idleTime <= 0 {
+		return Estimate{CallProbability: 1}
 	}
-	callers := known.idle / idle.Seconds() * busy.Seconds()
-	return max(1-callers/known.busy, 0)
+	callers := a.idle / a.idleTime.Seconds() * a.busyTime.Seconds()
+	return Estimate{CallProbability: max(1-callers/a.busy, 0)}
 }
 
-// halve lets old counts weigh less. Evidence that callers send a kind stays.
+// halve lets old counts weigh less.
 func (c *Classifier) halve(now time.Time) {
 	if now.Sub(c.halvedAt) < halfLife {
 		return
 	}
 	c.halvedAt = now
-	c.idle /= 2
-	c.busy /= 2
 	for _, known := range c.kinds {
-		if known.idle > minIdleArrivals {
-			known.idle = max(known.idle/2, minIdleArrivals)
-		}
+		known.idle /= 2
 		known.busy /= 2
+		known.idleTime /= 2
+		known.busyTime /= 2
 	}
 }
