gate: calls of running work before new work, one order at entries and hosts

Load: a service whose healthy servers have a queue of uploads, which may wait for seconds, is called by running requests of other servers, which may wait for half a second. The host would have run the calls first, but entries counted the whole queue as ahead of them, did not ask, and tried failing servers instead. Each failed call failed its parent.

- Waiting requests have ranks: calls, then the priorities of account and route.
- The expected wait counts the calls that arrive meanwhile, and tells the service time of calls from that of other work.
- Only calls may wait beyond their share of the objective; in a full service late requests took the room of those that could be in time.

The report of a host has two fields more and the queue as a list; the hop one field more.

--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -19,13 +19,16 @@
 		Node: NodeHash(rapid.Uint32().Draw(t, "node")), FollowsStore: rapid.Bool().Draw(t, "follows"), Stamp: rapid.Uint32().Draw(t, "stamp"),
 		Load: gate.Load{
 			Running: number("running"), Slots: number("slots"), FailureProbability: float64(rapid.IntRange(0, probabilityScale).Draw(t, "doubt")) / probabilityScale,
-			Service: ms("service"), TrialIn: ms("trial"), RetriesLeft: number("repeats"), StopsIn: ms("ends"), SinceLastResult: ms("quiet"),
+			Service: ms("service"), TrialIn: ms("trial"), RetriesLeft: number("repeats"), CallPercent: number("calls"), StopsIn: ms("ends"), SinceLastResult: ms("quiet"),
 			Open: rapid.Bool().Draw(t, "open"), Cold: rapid.Bool().Draw(t, "cold"),
 		},
 	}}
 	for i := range r.Load.Waiting {
 		r.Load.Waiting[i] = number("waiting")
 	}
+	if r.Load.CallPercent > 0 {
+		r.Load.WorkService = ms("work")
+	}
 	if rapid.Bool().Draw(t, "rate limited") {
 		r.Load.RateInterval, r.Load.RateTokens = ms("interval")+time.Millisecond, float64(number("tokens"))
 	}
--- a/internal/beacon/datagram.go
+++ b/internal/beacon/datagram.go
@@ -31,6 +31,10 @@
 	bitFollowsStore
 	// bitRateLimited tells that the report ends with the rate limit of the server.
 	bitRateLimited
+	// bitCalls tells that the report has the share of calls and the service time without them, and bitWaiting that it has the numbers of
+	// waiting requests by rank.
+	bitCalls
+	bitWaiting
 )
 
 // NodeHash identifies a node in datagrams.
@@ -114,14 +118,27 @@
 	if r.Load.RateLimited() {
 		bits |= bitRateLimited
 	}
+	if r.Load.WaitingRanks() > 0 {
+		bits |= bitWaiting
+	}
+	if r.Load.CallPercent > 0 {
+		bits |= bitCalls
+	}
 	numbers := []uint64{
 		uint64(max(r.Age, 0).Milliseconds()), bits, uint64(r.Load.Running), uint64(r.Load.Slots),
 		uint64(r.Load.FailureProbability * probabilityScale), uint64(r.Load.Service.Milliseconds()),
 		uint64(r.Load.TrialIn.Milliseconds()), uint64(r.Load.RetriesLeft), uint64(r.Load.StopsIn.Milliseconds()),
 		uint64(r.Load.SinceLastResult.Milliseconds()),
 	}
-	for _, waiting := range r.Load.Waiting {
-		numbers = append(numbers, uint64(waiting))
+	if bits&bitCalls != 0 {
+		numbers = append(numbers, uint64(r.Load.CallPercent), uint64(r.Load.WorkService.Milliseconds()))
+	}
+	if bits&bitWaiting != 0 {
+		ranks := r.Load.WaitingRanks()
+		numbers = append(numbers, uint64(ranks))
+		for _, waiting := range r.Load.Waiting[:ranks] {
+			numbers = append(numbers, uint64(waiting))
+		}
 	}
 	if r.Load.RateLimited() {
 		numbers = append(numbers, uint64(max(r.Load.RateInterval.Milliseconds(), 1)), uint64(max(r.Load.RateTokens, 0)*tokenScale))
@@ -163,7 +180,7 @@
 	}
 	r.Node, r.Stamp = NodeHash(binary.BigEndian.Uint32(b)), binary.BigEndian.Uint32(b[4:])
 	b = b[8:]
-	var numbers [10 + gate.PriorityLevels]int
+	var numbers [10]int
 	if b, ok = decodeNumbers(b, numbers[:]); !ok {
 		return AgedReport{}, nil, false
 	}
@@ -179,7 +196,9 @@
 		StopsIn:            time.Duration(numbers[8]) * time.Millisecond,
 		SinceLastResult:    time.Duration(numbers[9]) * time.Millisecond,
 	}
-	copy(r.Load.Waiting[:], numbers[10:])
+	if b, ok = decodeQueue(b, numbers[1], &r.Load); !ok {
+		return AgedReport{}, nil, false
+	}
 	if numbers[1]&bitRateLimited != 0 {
 		var limit [2]int
 		if b, ok = decodeNumbers(b, limit[:]); !ok {
@@ -190,6 +209,26 @@
 	return r, b, true
 }
 
+// decodeQueue reads the share of calls and the numbers of waiting requests, as far as bits tell that
+// the report has them.
+func decodeQueue(b []byte, bits int, load *gate.Load) (rest []byte, ok bool) {
+	if bits&bitCalls != 0 {
+		var calls [2]int
+		if b, ok = decodeNumbers(b, calls[:]); !ok {
+			return nil, false
+		}
+		load.CallPercent, load.WorkService = calls[0], time.Duration(calls[1])*time.Millisecond
+	}
+	if bits&bitWaiting == 0 {
+		return b, true
+	}
+	var number [1]int
+	if b, ok = decodeNumbers(b, number[:]); !ok || number[0] > len(load.Waiting) {
+		return nil, false
+	}
+	return decodeNumbers(b, load.Waiting[:number[0]])
+}
+
 // decodeNumbers fills numbers from the start of b and returns the rest of b.
 func decodeNumbers(b []byte, numbers []int) (rest []byte, ok bool) {
 	for i := range numbers {
--- a/internal/gate/doc.go
+++ b/internal/gate/doc.go
@@ -49,7 +49,21 @@
 //
 // # Slots
 //
-// A request runs if a slot is free and the rate limit admits it. Otherwise it may wait, in the order of
-// priority and then of the latency objective, if its expected wait is at most its
-// MaxWait. Every refusal means that the request has not run and will not run here.
+// A request runs if a slot is free and the rate limit admits it. Otherwise it may wait if its
+// expected wait is at most its MaxWait. Waiting requests run by rank, and within a rank by the
+// latency objective. Calls of running work have the first rank, then come the combined priorities of
+// account and route. Reports count the waiting requests by rank, so that entries expect the wait that
+// the gate will give. Requests that are no calls are passed by the calls that arrive while they wait: their
+// expected wait is divided by the share of the server that calls leave.
+//
+// flows keeps a floor by deficit round robin (Shreedhar and Varghese, 1995): whenever a run starts,
+// the waiting flows share floorShare of its service time as credit, and a flow whose credit pays for a
+// run of its kind goes next. In a full queue a request takes the place of one that runs after it, or
+// one of the kind that has most places if its own kind has none.
+//
+// Limits: service times of a kind are averages, so the floor holds up to a few runs, and it holds for
+// requests that reach the gate; entries refuse by the expected wait of the rank before that. The
+// service time of a server that has had no calls yet is that of all its requests.
+//
+// Every refusal means that the request has not run and will not run here.
 package gate
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,6 +4,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/tarragonford/tarragonford/internal/origin"
 )
 
 const (
@@ -49,8 +51,12 @@
 
 // Request describes a request that asks for a slot.
 type Request struct {
-	// Priority ranks the request; 0 is the most urgent.
-	Priority   int
+	// Priority is the combined priority of the request; 0 is the most urgent.
+	Priority int
+	// Call is set if a running request of another server waits for this one.
+	Call bool
+	// Flow is the flow that the request belongs to.
+	Flow       Flow
 	Idempotent bool
 	// Objective is the time until which the answer is fully useful.
 	Objective time.Time
@@ -67,10 +73,33 @@
 	RetryShare float64
 }
 
-// before reports whether r takes a free slot before other: by priority, then by the objective.
-// Short requests on which others wait have near objectives.
+// routePriorities is the number of priorities of routes that a combined priority distinguishes.
+const routePriorities = 16
+
+// CombinePriorities returns the priority of a request from that of its account, which goes first, and
+// that of its route.
+func CombinePriorities(account, route int) int {
+	return max(account, 0)*routePriorities + min(max(route, 0), routePriorities-1)
+}
+
+// Rank returns the rank of a request among those that wait: calls of running work come first, since
+// work that other servers have done depends on them, then the combined priorities.
+func Rank(call bool, priority int) int {
+	if call {
+		return 0
+	}
+	account, route := max(priority, 0)/routePriorities, max(priority, 0)%routePriorities
+	return 1 + min(account*rankedPriorities+min(route, rankedPriorities-1), PriorityLevels-2)
+}
+
+func (r Request) rank() int { return Rank(r.Call, r.Priority) }
+
+// before reports whether r takes a free slot before other: by rank, then by the objective.
 func (r Request) before(other Request) bool {
-	if r.Priority != other.Priority {
+	if r.rank() != other.rank() {
+		return r.rank() < other.rank()
+	}
+	if !r.Call && r.Priority != other.Priority {
 		return r.Priority < other.Priority
 	}
 	return r.Objective.Before(other.Objective)
@@ -92,30 +121,53 @@
 	return max(time.Duration(objectiveWaitShare*float64(objective)), late, 0)
 }
 
-// PriorityLevels is the number of priorities that a Load distinguishes.
-const PriorityLevels = 4
+// rankedPriorities is the number of priorities of accounts and of routes that ranks distinguish, and
+// PriorityLevels the number of ranks: calls, the combinations of these priorities, and all others.
+const (
+	rankedPriorities = 3
+	PriorityLevels   = 1 + rankedPriorities*rankedPriorities + 1
+)
 
-// ExpectedWait returns the expected time until a request of the priority gets a slot and the rate
-// limit admits it. unreported is the number of requests on their way that the load, which has the
-// given age, does not include yet.
-func (l Load) ExpectedWait(priority, unreported int, age time.Duration) time.Duration {
-	ahead := l.Ahead(priority) + unreported
+// ExpectedWait returns the expected time until a request of the rank gets a slot and the rate limit
+// admits it. unreported is the number of requests on their way that the load, which has the given
+// age, does not include yet.
+func (l Load) ExpectedWait(rank, unreported int, age time.Duration) time.Duration {
+	ahead := l.Ahead(rank) + unreported
 	wait := l.RateWait(ahead, age)
 	if excess := l.Running + ahead + 1 - l.Slots; excess > 0 {
-		wait = max(wait, time.Duration(float64(excess)/float64(max(l.Slots, 1))*float64(l.Service)))
+		wait = max(wait, l.slotWait(excess, rank))
 	}
 	return wait
 }
 
-// Ahead returns the number of waiting requests that come before another one of the priority.
-func (l Load) Ahead(priority int) int {
+// slotWait returns the expected time until a number of runs have ended. A request that is no call
+// waits for others of its sort, and for the calls that arrive meanwhile.
+func (l Load) slotWait(runs, rank int) time.Duration {
+	wait := float64(runs) / float64(max(l.Slots, 1))
+	if rank == 0 || l.CallPercent == 0 {
+		return time.Duration(wait * float64(l.Service))
+	}
+	return time.Duration(wait * float64(l.WorkService) / (1 - min(float64(l.CallPercent)/100, maxCallShare)))
+}
+
+// Ahead returns the number of waiting requests that come before another one of the rank.
+func (l Load) Ahead(rank int) int {
 	ahead := 0
-	for level := 0; level <= min(priority, PriorityLevels-1); level++ {
+	for level := 0; level <= min(rank, PriorityLevels-1); level++ {
 		ahead += l.Waiting[level]
 	}
 	return ahead
 }
 
+// WaitingRanks returns the number of ranks up to the last one of which requests wait.
+func (l Load) WaitingRanks() int {
+	ranks := len(l.Waiting)
+	for ranks > 0 && l.Waiting[ranks-1] == 0 {
+		ranks--
+	}
+	return ranks
+}
+
 // RateLimited reports whether the server limits the rate of requests.
 func (l Load) RateLimited() bool { return l.RateInterval > 0 }
 
@@ -128,8 +180,7 @@
 // Load describes the server for the nodes that choose between servers.
 type Load struct {
 	Running, Slots int
-	// Waiting counts the waiting requests by priority; the last level includes all less urgent
-	// ones.
+	// Waiting counts the waiting requests by rank; the last one includes all less urgent ones.
 	Waiting [PriorityLevels]int
 	// FailureProbability is the probability that the server is in a failure episode.
 	FailureProbability float64
@@ -142,6 +193,10 @@
 	// TrialIn is the time until an unhealthy server accepts one idempotent request as a trial;
 	// trialInFlight while a trial runs.
 	TrialIn time.Duration
+	// CallPercent is the share of the time of the server, in percent, that calls of running work take.
+	CallPercent int
+	// WorkService is the mean service time of requests that are no calls; 0 without calls.
+	WorkService time.Duration
 	// RetriesLeft is the number of retries that the retry budget still allows.
 	RetriesLeft int
 	// RateInterval is the mean time between two requests at the rate that the server accepts; 0
@@ -180,19 +235,25 @@
 
 // Gate admits the requests of one server. It is safe for concurrent use.
 type Gate struct {
-	mu           sync.Mutex
-	slots        int
-	open         bool
-	warmUntil    time.Time
-	running      int
-	waiting      []*Ticket
+	mu        sync.Mutex
+	slots     int
+	open      bool
+	warmUntil time.Time
+	running   int
+	waiting   []*Ticket
+	flows     flows
+	// calls is the mean number of slots that calls take.
+	calls        decayingMean
+	origins      *origin.Classifier
 	order        uint64
 	health       HealthEstimate
 	trialRunning bool
 	nextTrial    time.Time
 	serviceTime  time.Duration
-	retries      retryCounter
-	rate         rateLimit
+	// workTime is the mean service time of requests that are no calls.
+	workTime time.Duration
+	retries  retryCounter
+	rate     rateLimit
 	// rateUnknown is set if incarnations may have named a rate limit before this process started.
 	rateUnknown bool
 	// incarnationSince is when the gate opened for the current incarnation of the server.
@@ -209,11 +270,17 @@
 // must not call the gate.
 func New(now time.Time, onChange func()) *Gate {
 	return &Gate{
-		health: NewHealthEstimate(now), serviceTime: initialServiceTime, onChange: onChange,
+		health: NewHealthEstimate(now), serviceTime: initialServiceTime, workTime: initialServiceTime, onChange: onChange,
 		retries: retryCounter{started: now}, rate: rateLimit{burst: DefaultRateBurst},
+		flows: newFlows(), origins: origin.New(now),
 	}
 }
 
+// Origin estimates whether a request of a kind that arrives at the node was made by its server.
+func (g *Gate) Origin(now time.Time, kind uint32) origin.Estimate {
+	return g.origins.Observe(now, kind)
+}
+
 // SetRetryBudget sets the part of this server in the retry budget.
 func (g *Gate) SetRetryBudget(budget RetryBudget) {
 	g.mu.Lock()
@@ -298,7 +365,8 @@
 		return ticket, NotRefused, 0
 	}
 	wait, reason := g.expectedWait(now, request)
-	if trial || len(g.waiting) >= maxQueuePerSlot*g.slots || wait > request.MaxWait || request.MaxWait == 0 {
+	if trial || wait > request.MaxWait || request.MaxWait == 0 ||
+		len(g.waiting) >= maxQueuePerSlot*g.slots && !g.displaceFor(request) {
 		return nil, reason, wait
 	}
 	g.insert(ticket)
@@ -340,7 +408,7 @@
 	}
 	forSlot := time.Duration(0)
 	if excess := g.running + ahead + 1 - g.slots; excess > 0 {
-		forSlot = time.Duration(float64(excess) / float64(g.slots) * float64(g.serviceTime))
+		forSlot = g.callLoad(now, Load{Slots: g.slots, Service: g.serviceTime}).slotWait(excess, request.rank())
 	}
 	if forRate := g.rate.wait(now, ahead); forRate > forSlot {
 		return forRate, RateLimited
@@ -357,10 +425,36 @@
 	g.waiting[at] = ticket
 }
 
+// displaceFor refuses a waiting request that has less claim to a place in a full queue than another
+// one: the last one that runs after it, or the last one of the kind with most places if the other
+// one's kind has none. The last request of a kind stays, so that no kind is kept out as a whole. It
+// returns false if there is none.
+func (g *Gate) displaceFor(request Request) bool {
+	places := map[uint32]int{}
+	most := 1
+	for _, ticket := range g.waiting {
+		kind := ticket.request.Flow.Kind
+		places[kind]++
+		most = max(most, places[kind])
+	}
+	absent := places[request.Flow.Kind] == 0
+	for i := len(g.waiting) - 1; i >= 0; i-- {
+		other := g.waiting[i].request
+		held := places[other.Flow.Kind]
+		if held > 1 && (request.before(other) || absent && held == most) {
+			g.waiting[i].decision <- Busy
+			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Gate) start(now time.Time, ticket *Ticket) {
 	ticket.running = true
 	ticket.started = now
 	g.running++
+	g.origins.SetRunning(now, true)
 	g.rate.take(now)
 	if ticket.trial {
 		g.trialRunning = true
@@ -385,6 +479,12 @@
 	}
 	ticket.running = false
 	g.running--
+	if g.running == 0 {
+		g.origins.SetRunning(now, false)
+	}
+	if ticket.request.Call {
+		g.calls.add(now, now.Sub(ticket.started))
+	}
 	if ticket.trial {
 		g.trialRunning = false
 	}
@@ -393,6 +493,10 @@
 	}
 	if evidence == Success {
 		g.serviceTime += time.Duration(serviceTimeWeight * float64(now.Sub(ticket.started)-g.serviceTime))
+		if !ticket.request.Call {
+			g.workTime += time.Duration(serviceTimeWeight * float64(now.Sub(ticket.started)-g.workTime))
+		}
+		g.flows.observe(ticket.request.Flow.Kind, now.Sub(ticket.started))
 	}
 	if evidence == Failure && g.explainedByCall(now) {
 		evidence = None
@@ -449,18 +553,27 @@
 // admitWaiting gives free slots to waiting requests, and refuses those that the health or the retry
 // budget no longer allows.
 func (g *Gate) admitWaiting(now time.Time) {
+	for g.refuseBarred(now); len(g.waiting) > 0 && g.mayStart(now); g.refuseBarred(now) {
+		i := g.flows.next(g.waiting)
+		ticket := g.waiting[i]
+		g.flows.charge(g.waiting, ticket.request.Flow)
+		g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
+		ticket.trial, _ = g.healthAllows(now, ticket.request)
+		g.start(now, ticket)
+		ticket.decision <- NotRefused
+	}
+}
+
+// refuseBarred refuses the waiting requests that the health or the retry budget no longer allows.
+func (g *Gate) refuseBarred(now time.Time) {
 	kept := g.waiting[:0]
 	for _, ticket := range g.waiting {
-		trial, allowed := g.healthAllows(now, ticket.request)
+		_, allowed := g.healthAllows(now, ticket.request)
 		switch {
 		case !allowed:
 			ticket.decision <- Unhealthy
 		case ticket.request.Retry && g.retries.remaining(now) < 1:
 			ticket.decision <- RetryBudgetExhausted
-		case g.mayStart(now):
-			ticket.trial = trial
-			g.start(now, ticket)
-			ticket.decision <- NotRefused
 		default:
 			kept = append(kept, ticket)
 		}
@@ -474,7 +587,7 @@
 	defer g.mu.Unlock()
 	var waiting [PriorityLevels]int
 	for _, ticket := range g.waiting {
-		waiting[min(max(ticket.request.Priority, 0), PriorityLevels-1)]++
+		waiting[ticket.request.rank()]++
 	}
 	load := Load{
 		Running:            g.running,
@@ -491,6 +604,15 @@
 	if g.rate.bucket != nil {
 		load.RateInterval, load.RateTokens = g.rate.interval(), g.rate.bucket.TokensAt(now)
 	}
+	return g.callLoad(now, load)
+}
+
+// callLoad adds what calls take of the server to a load.
+func (g *Gate) callLoad(now time.Time, load Load) Load {
+	load.CallPercent = min(int(100*g.calls.at(now)/float64(max(g.slots, 1))), 100)
+	if load.CallPercent > 0 {
+		load.WorkService = g.workTime
+	}
 	return load
 }
 
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -63,7 +63,8 @@
 // Query describes the request that needs a server.
 type Query struct {
 	Idempotent bool
-	Priority   int
+	// Priority is the rank of the request among those that wait, as gate.Rank gives it.
+	Priority int
 	// Objective is the remaining time of the latency objective.
 	Objective time.Duration
 	// LastAttempt is set if a failure of this attempt cannot be retried elsewhere.
--- a/internal/sidecar/accounts.go
+++ b/internal/sidecar/accounts.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/gate"
 )
 
 // identify returns the client account of a request. On a public route, an unknown key has no effect.
@@ -28,12 +29,14 @@
 	return AccountName{InUse: true, Name: name}, nil
 }
 
-// priority returns the rank of a request: that of its account, if it has one, or that of its route.
+// priority returns the combined priority of a request. The priority of the account goes before that
+// of the route; a request without one has that of its route in both places.
 func (x *exchange) priority(account AccountName) int {
+	first := x.route.Priority
 	if known, ok := x.view.Config.Accounts[account.Name]; ok && known.Priority != nil {
-		return *known.Priority
+		first = *known.Priority
 	}
-	return x.route.Priority
+	return gate.CombinePriorities(first, x.route.Priority)
 }
 
 // kindOf returns the number that stands for a route in hops.
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -41,7 +41,7 @@
 // responds to the caller.
 func (x *exchange) run(ctx context.Context, w http.ResponseWriter) {
 	var last *httpconn.Response
-	waitUntil := x.started.Add(gate.MaxWaitFor(x.objective.Sub(x.started), x.deadline.Sub(x.started)))
+	waitUntil := x.started.Add(x.maxWait(x.started))
 	for hops := 0; hops < maxHops; {
 		if ctx.Err() != nil || x.attempts == 0 && x.checkStop() != nil {
 			break
@@ -91,7 +91,7 @@
 	now := time.Now()
 	query := pick.Query{
 		Idempotent:   x.request.idempotent,
-		Priority:     x.request.priority,
+		Priority:     gate.Rank(x.request.call, x.request.priority),
 		LastAttempt:  x.attempts > 0 && x.attempts+1 >= x.route.MaxAttempts && x.route.MaxAttempts > 0,
 		Objective:    x.objective.Sub(x.started),
 		MaxWait:      x.queueLimit(now),
@@ -138,7 +138,7 @@
 	if pool == nil {
 		return 0
 	}
-	return x.entry.picker.RateLimitedFor(time.Now(), pool.Candidates, x.request.priority)
+	return x.entry.picker.RateLimitedFor(time.Now(), pool.Candidates, gate.Rank(x.request.call, x.request.priority))
 }
 
 // waitForServer pauses before the next attempt to find a server that accepts the request. It
@@ -205,10 +205,18 @@
 	return x.maxQueueTime(now)
 }
 
+// maxWait returns the longest expected wait with which an answer is still worth a slot.
+func (x *exchange) maxWait(now time.Time) time.Duration {
+	if !x.request.call {
+		return gate.MaxWaitFor(x.objective.Sub(now), 0)
+	}
+	return gate.MaxWaitFor(x.objective.Sub(now), x.deadline.Sub(now))
+}
+
 // maxQueueTime returns how long the request may wait once it queues. On a stopping node the limit
 // is lower, so that the request still has time to run.
 func (x *exchange) maxQueueTime(now time.Time) time.Duration {
-	limit := gate.MaxWaitFor(x.objective.Sub(now), x.deadline.Sub(now))
+	limit := x.maxWait(now)
 	if end := x.view.StopAt; !end.IsZero() {
 		limit = min(limit, time.Duration(stopQueueShare*float64(end.Sub(now))))
 	}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -134,6 +134,7 @@
 	}
 	x.request.body = body
 	x.service = e.splitter.Choose(&x.route, rand.Float64)
+	isCall, callProbability := x.origin(account)
 	x.request.hopMetadata = hopMetadata{
 		priority:   x.priority(account),
 		idempotent: found.IsIdempotent(r.Method),
@@ -143,11 +144,24 @@
 		inbound:    e.settings.Inbound,
 		account:    account,
 		kind:       kindOf(found.ID),
-		firstHop:   true, retryShare: e.host.gate.RetryShare(),
+		call:       isCall,
+		firstHop:   true, retryShare: e.host.gate.RetryShare() * callProbability,
 	}
 	return x, nil
 }
 
+// origin tells whether the local server made the request, and the probability of that. Calls carry no
+// account key. Where accounts are in use, a request without a key is a call unless callers send
+// its kind as well.
+func (x *exchange) origin(account AccountName) (isCall bool, probability float64) {
+	if account.Name != "" {
+		return false, 0
+	}
+	estimate := x.entry.host.gate.Origin(x.started, kindOf(x.route.ID))
+	isCall = estimate.Call || account.InUse && estimate.CallProbability == 1
+	return isCall, estimate.CallProbability
+}
+
 // pathOf returns the path as the caller sent it, still escaped.
 func pathOf(r *http.Request) string { return r.URL.EscapedPath() }
 
@@ -301,6 +315,7 @@
 		zap.String("route", x.route.ID),
 		zap.String("target_service", x.service),
 		zap.Int("priority", x.request.priority),
+		zap.Bool("call", x.request.call),
 		zap.Bool("idempotent", x.request.idempotent),
 		zap.String("account", x.request.account.Name),
 		zap.Int("status", status),
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -52,6 +52,8 @@
 	// of gate.Request.
 	retry, firstHop bool
 	retryShare      float64
+	// call is set if a running request of the caller's server waits for this one.
+	call bool
 	// account is the client account of the request.
 	account AccountName
 	// kind identifies the route, for the division of a server between kinds of requests.
@@ -60,7 +62,7 @@
 
 // A hop has hopMetadataFields fields, and accountFields more if accounts are in use.
 const (
-	hopMetadataFields = 13
+	hopMetadataFields = 14
 	accountFields     = 1
 )
 
@@ -68,9 +70,9 @@
 const shareScale = 1000
 
 func (t hopMetadata) encode() string {
-	text := fmt.Sprintf("%d;%d;%d;%d;%d;%d;%d;%d;%s;%s;%d;%s;%x", t.remaining.Milliseconds(), t.objective.Milliseconds(),
+	text := fmt.Sprintf("%d;%d;%d;%d;%d;%d;%d;%d;%d;%s;%s;%d;%s;%x", t.remaining.Milliseconds(), t.objective.Milliseconds(),
 		t.queueLimit.Milliseconds(), t.priority, boolToInt(t.idempotent), boolToInt(t.retry), boolToInt(t.firstHop),
-		int(t.retryShare*shareScale), t.caller, t.service, t.version, t.inbound, t.kind)
+		int(t.retryShare*shareScale), boolToInt(t.call), t.caller, t.service, t.version, t.inbound, t.kind)
 	if t.account.InUse {
 		text += ";" + url.QueryEscape(t.account.Name)
 	}
@@ -83,7 +85,7 @@
 		return hopMetadata{}, trace.BadParameter("hop metadata must have %d fields, or %d with an account, got %d",
 			hopMetadataFields, hopMetadataFields+accountFields, len(fields))
 	}
-	var numbers [8]int64
+	var numbers [9]int64
 	for i := range numbers {
 		n, err := strconv.ParseInt(fields[i], 10, 64)
 		if err != nil {
@@ -91,11 +93,11 @@
 		}
 		numbers[i] = n
 	}
-	version, err := strconv.ParseUint(fields[10], 10, 64)
+	version, err := strconv.ParseUint(fields[11], 10, 64)
 	if err != nil {
 		return hopMetadata{}, trace.BadParameter("hop metadata: the configuration version is not a number")
 	}
-	kind, err := strconv.ParseUint(fields[12], 16, 32)
+	kind, err := strconv.ParseUint(fields[13], 16, 32)
 	if err != nil {
 		return hopMetadata{}, trace.BadParameter("hop metadata: the kind of the request is not a number")
 	}
@@ -116,10 +118,11 @@
 		retry:      numbers[5] == 1,
 		firstHop:   numbers[6] == 1,
 		retryShare: float64(numbers[7]) / shareScale,
-		caller:     fields[8],
-		service:    fields[9],
+		call:       numbers[8] == 1,
+		caller:     fields[9],
+		service:    fields[10],
 		version:    version,
-		inbound:    fields[11],
+		inbound:    fields[12],
 		kind:       uint32(kind),
 		account:    account,
 	}, nil
@@ -136,10 +139,7 @@
 		int64(boolToInt(r.Open)), int64(r.Running), int64(r.Slots), int64(r.FailureProbability * shareScale),
 		r.Service.Milliseconds(), int64(boolToInt(r.Cold)), r.TrialIn.Milliseconds(), int64(r.version),
 	}
-	for _, waiting := range r.Waiting {
-		numbers = append(numbers, int64(waiting))
-	}
-	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastResult.Milliseconds())
+	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastResult.Milliseconds(), int64(r.CallPercent), r.WorkService.Milliseconds())
 	if r.RateLimited() {
 		numbers = append(numbers, max(r.RateInterval.Milliseconds(), 1), int64(max(r.RateTokens, 0)*shareScale))
 	}
@@ -150,16 +150,40 @@
 		}
 		text = strconv.AppendInt(text, n, 10)
 	}
-	return string(text)
+	return string(text) + encodeWaiting(r.Load)
+}
+
+// encodeWaiting returns the numbers of waiting requests by rank, without the zeros at the end.
+func encodeWaiting(load gate.Load) string {
+	var text strings.Builder
+	for _, n := range load.Waiting[:load.WaitingRanks()] {
+		text.WriteString("," + strconv.Itoa(n))
+	}
+	return text.String()
+}
+
+func decodeWaiting(fields []string) (waiting [gate.PriorityLevels]int, ok bool) {
+	if len(fields) > len(waiting) {
+		return waiting, false
+	}
+	for i, field := range fields {
+		n, err := strconv.Atoi(field)
+		if err != nil || n < 0 {
+			return waiting, false
+		}
+		waiting[i] = n
+	}
+	return waiting, true
 }
 
 // A load report has loadReportFields numbers, and rateFields more if the server limits the rate.
 const (
-	loadReportFields = 11 + gate.PriorityLevels
+	loadReportFields = 13
 	rateFields       = 2
 )
 
 func decodeLoadReport(text string) (loadReport, bool) {
+	text, queue, queued := strings.Cut(text, ",")
 	fields := strings.Split(text, ";")
 	if len(fields) != loadReportFields && len(fields) != loadReportFields+rateFields {
 		return loadReport{}, false
@@ -184,15 +208,20 @@
 		},
 		version: uint64(n[7]),
 	}
-	for i := range r.Waiting {
-		r.Waiting[i] = int(n[8+i])
+	if queued {
+		var ok bool
+		if r.Waiting, ok = decodeWaiting(strings.Split(queue, ",")); !ok {
+			return loadReport{}, false
+		}
 	}
-	last := n[8+gate.PriorityLevels:]
+	last := n[8:]
 	r.RetriesLeft = int(last[0])
 	r.StopsIn = time.Duration(last[1]) * time.Millisecond
 	r.SinceLastResult = time.Duration(last[2]) * time.Millisecond
-	r.RateInterval = time.Duration(last[3]) * time.Millisecond
-	r.RateTokens = float64(last[4]) / shareScale
+	r.CallPercent = int(last[3])
+	r.WorkService = time.Duration(last[4]) * time.Millisecond
+	r.RateInterval = time.Duration(last[5]) * time.Millisecond
+	r.RateTokens = float64(last[6]) / shareScale
 	return r, true
 }
 
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -110,6 +110,8 @@
 	}
 	work := gate.Request{
 		Priority:   r.priority,
+		Call:       r.call,
+		Flow:       gate.Flow{Kind: r.kind, Account: r.account.Name},
 		Idempotent: r.idempotent,
 		Objective:  r.arrived.Add(r.objective),
 		MaxWait:    r.queueLimit,
@@ -285,6 +287,7 @@
 		zap.Float64("doubt", reply.report.FailureProbability),
 		zap.Bool("idempotent", r.idempotent),
 		zap.Bool("repeat", r.retry),
+		zap.Bool("call", r.call),
 		zap.Int("repeats_left", reply.report.RetriesLeft),
 		zap.Uint64("entry_config", r.version),
 		zap.String("entry", r.inbound),
