comeback: refused callers are told when to return, spread over their objective

A request that servers refused with room free was passed on without Retry-After; the callers of a full service got the same delay and returned in a wave. Delay spreads the returns over the time in which an answer is still in time, at least the wait for room in a full service, with jitter.

--- a/internal/architecture/pure_test.go
+++ b/internal/architecture/pure_test.go
@@ -17,7 +17,7 @@
 // purePackages are those that docs/design.md marks with P.
 var purePackages = []string{
 	"codes", "fleet", "detect", "eject", "route", "admit", "intent", "registration", "gate", "pick", "beacon",
-	"origin",
+	"origin", "comeback",
 }
 
 // isImpure reports whether an import lets a package reach the network, the
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/comeback"
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
@@ -27,9 +28,8 @@
 	maxHops = 10
 	// recheckInterval is the pause between two attempts to find a server that accepts a request.
 	recheckInterval = 25 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the retry delay suggested to refused callers.
+	// minRetryAfter is the shortest delay suggested to refused callers.
 	minRetryAfter = 200 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
 	// maxRateRetryAfter bounds the delay because of rate limits, which is known and not estimated.
 	maxRateRetryAfter = 10 * time.Second
 	// stopQueueShare is the fraction of the time until the stop limit that requests of a stopping
@@ -360,15 +360,20 @@
 		e.fail(w, x, codes.NoServer.New("the servers of service %s get as many requests per second as they accept", x.service),
 			min(max(x.rateWait, minRetryAfter), maxRateRetryAfter))
 	default:
-		e.fail(w, x, codes.NoServer.New("no server of service %s accepts the request", x.service), x.retryAfter())
+		e.fail(w, x, codes.NoServer.New("no server of service %s accepts the request", x.service), x.retryAfter(false))
 	}
 }
 
-// retryAfter returns the time after which a server may accept the request.
-func (x *exchange) retryAfter() time.Duration {
-	pool := x.view.Services[x.service]
-	if pool == nil {
-		return maxRetryAfter
+// retryAfter returns the time after which the caller of a refused request should return. shed is set
+// if the last server refused it with room free.
+func (x *exchange) retryAfter(shed bool) time.Duration {
+	now := time.Now()
+	refused := comeback.Refused{Objective: x.objective.Sub(now), Remaining: x.deadline.Sub(now)}
+	if len(x.hops) > 0 {
+		refused.Service = x.hops[len(x.hops)-1].choice.Service
+	}
+	if pool := x.view.Services[x.service]; !shed && pool != nil {
+		refused.Room = x.entry.picker.NextAvailable(now, pool.Candidates)
 	}
-	return min(max(x.entry.picker.NextAvailable(time.Now(), pool.Candidates), minRetryAfter), maxRetryAfter)
+	return max(comeback.Delay(refused, rand.Float64), minRetryAfter)
 }
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -77,6 +77,8 @@
 	// rateWait is the time for which the rates that the servers accept keep the request out; 0 if
 	// they do not, or not for too long.
 	rateWait time.Duration
+	// retryDelay is the delay that a refused caller was told; 0 for none.
+	retryDelay time.Duration
 	// hops are the nodes that were asked, for the log.
 	hops []hopRecord
 }
@@ -249,11 +251,18 @@
 	if e.control.View().Leaving {
 		header.Set("Connection", "close")
 	}
+	after := time.Duration(0)
+	if response.Status == http.StatusServiceUnavailable && e.headers.NotRun(response.Status, response.Header) && header.Get("Retry-After") == "" {
+		// The gate sent the request to a free slot, so the server refused it with room free.
+		after = x.retryAfter(true)
+		e.headers.SetRetryAfter(header, after)
+	}
 	if response.Status >= http.StatusInternalServerError {
 		e.host.gate.CallFailed(time.Now())
 	}
 	w.WriteHeader(response.Status)
 	_, err := w.Write(response.Body)
+	x.retryDelay = after
 	e.finish(x, response.Status, 0, err)
 	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		panic(http.ErrAbortHandler)
@@ -283,6 +292,7 @@
 	}
 	e.host.gate.CallFailed(time.Now())
 	problem.Write(w, x.request.id, err)
+	x.retryDelay = after
 	e.finish(x, err.Code.Status, err.Code.Number, err)
 }
 
@@ -324,5 +334,6 @@
 		zap.Objects("hops", x.hops),
 		zap.Int("attempts", x.attempts),
 		zap.Uint64("config", version),
+		zap.Duration("retry_after", x.retryDelay),
 		zap.Duration("took", took))
 }
