gate: the floor bounds the expected wait too; experiment on a full service

The experiment showed that a kind without calls' rank got nothing from 1.5 times the capacity on, although the host keeps a floor for it: entries refuse by the expected wait, which counted the calls that arrive meanwhile without the floor. The expected wait is now at most the one that the floor gives.

--- a/internal/experiment/overload.go
+++ b/internal/experiment/overload.go
@@ -30,7 +30,9 @@
 // Overload compares the retry and hedge budget with three retries without a budget and
 // with no retries. The rows with the suffix "-all-shedding" show the attempts sent while
 // every server refuses every request, those with "-onset" the first 10 s of such a phase
-// after a healthy one, when each entry node has budget saved up.
+// after a healthy one, when each entry node has budget saved up. The rows with the prefix
+// "room-" compare ways to divide the room of a full service between calls of running work and
+// other requests, with an oracle.
 var Overload = Definition{
 	Name:    "overload",
 	Summary: "retry budget compared with unbudgeted retries and no retries",
@@ -54,6 +56,7 @@
 		c.entryNodes = largeFleetEntries
 		addTrafficRow(table, fmt.Sprintf("%s%s-%d-entries", policy.name, overloadOnsetSuffix, largeFleetEntries), c.load, runTraffic(c))
 	}
+	addRoomRows(table, seed, min(duration, roomDuration))
 	return table
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -135,11 +135,27 @@
 	ahead := l.Ahead(rank) + unreported
 	wait := l.RateWait(ahead, age)
 	if excess := l.Running + ahead + 1 - l.Slots; excess > 0 {
-		wait = max(wait, l.slotWait(excess, rank))
+		wait = max(wait, min(l.slotWait(excess, rank), l.floorWait(rank)))
 	}
 	return wait
 }
 
+// floorWait returns the time after which the floor of its flow pays for a request, if the requests
+// of each rank are one flow.
+func (l Load) floorWait(rank int) time.Duration {
+	flows, ahead := 1, 0
+	for other, waiting := range l.Waiting {
+		switch {
+		case other == min(rank, PriorityLevels-1):
+			ahead = waiting
+		case waiting > 0:
+			flows++
+		}
+	}
+	service := max(l.Service, l.WorkService)
+	return time.Duration(float64((ahead+1)*flows) * float64(service) / (floorShare * float64(max(l.Slots, 1))))
+}
+
 // slotWait returns the expected time until a number of runs have ended. A request that is no call
 // waits for others of its sort, and for the calls that arrive meanwhile.
 func (l Load) slotWait(runs, rank int) time.Duration {
@@ -408,7 +424,8 @@
 	}
 	forSlot := time.Duration(0)
 	if excess := g.running + ahead + 1 - g.slots; excess > 0 {
-		forSlot = g.callLoad(now, Load{Slots: g.slots, Service: g.serviceTime}).slotWait(excess, request.rank())
+		load := g.load(now)
+		forSlot = min(load.slotWait(excess, request.rank()), load.floorWait(request.rank()))
 	}
 	if forRate := g.rate.wait(now, ahead); forRate > forSlot {
 		return forRate, RateLimited
@@ -585,6 +602,10 @@
 func (g *Gate) Load(now time.Time) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.load(now)
+}
+
+func (g *Gate) load(now time.Time) Load {
 	var waiting [PriorityLevels]int
 	for _, ticket := range g.waiting {
 		waiting[ticket.request.rank()]++
