--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -184,6 +184,9 @@
 	return ranks
 }
 
+// QueueLength returns the number of waiting requests.
+func (l Load) QueueLength() int { return l.Ahead(PriorityLevels - 1) }
+
 // RateLimited reports whether the server limits the rate of requests.
 func (l Load) RateLimited() bool { return l.RateInterval > 0 }
 
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -26,6 +26,9 @@
 	hopsBeforeQueueing = 3
 	// maxHops bounds the number of nodes that one request is sent to.
 	maxHops = 10
+	// maxBudgetRefusals is the number of nodes that may refuse a retry for the retry budget before it is
+	// given up: once several have none left, what others have is soon taken, and each hop costs bytes.
+	maxBudgetRefusals = 3
 	// recheckInterval is the pause between two attempts to find a server that accepts a request.
 	recheckInterval = 25 * time.Millisecond
 	// minRetryAfter is the shortest delay suggested to refused callers.
@@ -272,7 +275,10 @@
 		e.picker.MarkRefused(now, member.ID, reply.refused.reason)
 		mayQueue := reply.refused.reason == gate.Busy || reply.refused.reason == gate.RateLimited
 		x.tried[member.ID] = !mayQueue || x.queueing
-		return true, nil
+		if reply.refused.reason == gate.RetryBudgetExhausted {
+			x.budgetRefusals++
+		}
+		return x.budgetRefusals < maxBudgetRefusals, nil
 	case reply.response == nil:
 		x.recordResult("answer-lost")
 		x.tried[member.ID] = true
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -74,6 +74,8 @@
 	tried map[string]bool
 	// queueing is set once nodes may put the request into their queue.
 	queueing bool
+	// budgetRefusals counts the nodes that refused a retry for the retry budget.
+	budgetRefusals int
 	// rateWait is the time for which the rates that the servers accept keep the request out; 0 if
 	// they do not, or not for too long.
 	rateWait time.Duration
@@ -309,6 +311,9 @@
 	took := time.Since(x.started)
 	e.telemetry.Metrics.Requests.Inc(resultOf(code))
 	e.telemetry.Metrics.Attempts.Add(int64(x.attempts))
+	if x.retryDelay > 0 {
+		e.telemetry.Metrics.ReturnsSuggested.Inc()
+	}
 	e.telemetry.Metrics.RequestTime.Record(took)
 	version := uint64(0)
 	if x.view.Config != nil {
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -61,6 +61,8 @@
 	// departed is the server incarnation that responded, if it announced its departure.
 	departed *registration.Incarnation
 	report   loadReport
+	// waited is the time that the request waited for a slot.
+	waited time.Duration
 	// hasReport tells whether the host reported its load.
 	hasReport bool
 }
@@ -121,12 +123,16 @@
 	if reason != gate.NotRefused {
 		return refuse(reason, after)
 	}
+	asked := time.Now()
 	if !h.gate.Running(ticket) {
 		if reason := h.wait(ctx, ticket, r.queueLimit); reason != gate.NotRefused {
 			return refuse(reason, 0)
 		}
 	}
-	return h.run(ctx, view.Server, ticket, r)
+	waited := time.Since(asked)
+	reply := h.run(ctx, view.Server, ticket, r)
+	reply.waited = waited
+	return reply
 }
 
 // wait returns when the request may run, or the reason why it may not. Requests that were admitted
@@ -273,6 +279,13 @@
 		status = reply.response.Status
 	}
 	h.telemetry.Metrics.HostRequests.Inc(resultOf(code))
+	if r.call {
+		h.telemetry.Metrics.Calls.Inc()
+	}
+	h.telemetry.Metrics.Queued.Set(int64(reply.report.QueueLength()))
+	if reply.refused == nil {
+		h.telemetry.Metrics.AdmissionTime.Record(reply.waited)
+	}
 	level := zap.InfoLevel
 	if result == "lost" || status >= http.StatusInternalServerError {
 		level = zap.WarnLevel
@@ -288,6 +301,7 @@
 		zap.Bool("idempotent", r.idempotent),
 		zap.Bool("repeat", r.retry),
 		zap.Bool("call", r.call),
+		zap.Duration("waited", reply.waited),
 		zap.Int("repeats_left", reply.report.RetriesLeft),
 		zap.Uint64("entry_config", r.version),
 		zap.String("entry", r.inbound),
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -48,6 +48,10 @@
 	// RateLimited counts requests that were refused because of the rates that backend servers accept,
 	// at the node beside the server or at once at the entry node.
 	RateLimited Counter
+	// Calls counts requests at the host node that running requests of other servers wait for.
+	Calls Counter
+	// ReturnsSuggested counts refused requests whose callers were told when to return.
+	ReturnsSuggested Counter
 	// LateAnswers counts responses dropped because nothing was waiting for them any more.
 	LateAnswers Counter
 	// WrongAnswers counts responses dropped because they carried the ID of another request.
--- a/internal/telemetry/series.go
+++ b/internal/telemetry/series.go
@@ -33,6 +33,8 @@
 		counterSeries("tarragon_hedge_wins", "Hedged attempts whose response was used.", "", &m.HedgeWins),
 		counterSeries("tarragon_dispatches", "Requests sent to a backend server.", "", &m.Dispatches),
 		counterSeries("tarragon_rate_limited", "Requests refused because of the rates that backend servers accept.", "", &m.RateLimited),
+		counterSeries("tarragon_calls", "Requests at the host that running requests of other servers wait for.", "", &m.Calls),
+		counterSeries("tarragon_returns_suggested", "Refused requests whose callers were told when to return.", "", &m.ReturnsSuggested),
 		gaugeSeries("tarragon_server_rate_limit", "Requests that the local backend server accepts, per 1000 s; 0 for no limit.", "", &m.ServerRateLimit),
 		counterSeries("tarragon_late_answers_dropped", "Responses dropped because nothing was waiting for them any more.", "", &m.LateAnswers),
 		counterSeries("tarragon_wrong_answers_dropped", "Responses dropped because they carried the ID of another request.", "", &m.WrongAnswers),
