gate: calls are charged by the share of retries among the kinds that are retried

The probability that a call belongs to a repeated run was the share of repeats among all running requests. Requests that are never repeated and make no calls lowered it: with five of them beside a lookup and its repeat, the calls of the lookups were charged a seventh instead of half, so the called service got more repeats than its budget. The new test failed before: expected 0.5, got 0.143.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -277,8 +277,8 @@
 	rateUnknown bool
 	// incarnationSince is when the gate opened for the current incarnation of the server.
 	incarnationSince time.Time
-	// runningRetries counts the retries among the running requests.
-	runningRetries int
+	// runs counts the running requests of each kind.
+	runs map[uint32]runCount
 	// lastCallFailure is the time of the newest failed call of the server that has not yet
 	// explained a failure.
 	lastCallFailure time.Time
@@ -291,7 +291,7 @@
 	return &Gate{
 		health: NewHealthEstimate(now), serviceTime: initialServiceTime, workTime: initialServiceTime, onChange: onChange,
 		retries: retryCounter{started: now}, rate: rateLimit{burst: DefaultRateBurst},
-		flows: newFlows(), origins: origin.New(now),
+		flows: newFlows(), origins: origin.New(now), runs: map[uint32]runCount{},
 	}
 }
 
@@ -307,15 +307,41 @@
 	g.retries.budget = budget
 }
 
-// RetryShare returns the share of retries among the running requests, which is the probability that
-// a call of the server belongs to one of them.
+// runCount counts running requests, and the retries among them.
+type runCount struct {
+	all, retries int
+}
+
+// RetryShare returns the probability that a call of the server belongs to a retry: the share of
+// retries among the running requests of the kinds that are being retried. Any of these kinds may be the
+// one that makes calls, and others may make none.
 func (g *Gate) RetryShare() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.running == 0 {
+	var sum runCount
+	for _, kind := range g.runs {
+		if kind.retries > 0 {
+			sum.all += kind.all
+			sum.retries += kind.retries
+		}
+	}
+	if sum.all == 0 {
 		return 0
 	}
-	return float64(g.runningRetries) / float64(g.running)
+	return float64(sum.retries) / float64(sum.all)
+}
+
+// countRun adds a number of runs of the kind of a request.
+func (g *Gate) countRun(request Request, change int) {
+	kind := request.Flow.Kind
+	count := g.runs[kind]
+	count.all += change
+	if request.Retry {
+		count.retries += change
+	}
+	if g.runs[kind] = count; count.all == 0 {
+		delete(g.runs, kind)
+	}
 }
 
 // Open admits requests and sets the capacity of the server. A new incarnation starts without the
@@ -481,8 +507,8 @@
 	}
 	if ticket.request.Retry {
 		g.retries.recordRetry(now)
-		g.runningRetries++
 	}
+	g.countRun(ticket.request, 1)
 	g.onChange()
 }
 
@@ -508,9 +534,7 @@
 	if ticket.trial {
 		g.trialRunning = false
 	}
-	if ticket.request.Retry {
-		g.runningRetries--
-	}
+	g.countRun(ticket.request, -1)
 	if evidence == Success {
 		g.serviceTime += time.Duration(serviceTimeWeight * float64(now.Sub(ticket.started)-g.serviceTime))
 		if !ticket.request.Call {
--- a/internal/gate/repeats_test.go
+++ b/internal/gate/repeats_test.go
@@ -141,3 +141,25 @@
 	caller.Done(now, retry, Success)
 	g.Expect(caller.RetryShare()).To(BeZero())
 }
+
+// Load: a server runs many requests that make no calls and are not repeated, and a few lookups, half of
+// which are repeats and make all its calls. Guards against the share of repeats among all running
+// requests, which charged a seventh of these calls instead of half and broke the bound at the
+// service that they call.
+func TestCallsAreChargedByTheKindsThatAreRetried(t *testing.T) {
+	g := NewWithT(t)
+	gate := newOpenGate(8)
+	gate.SetRetryBudget(RetryBudget{Allowance: 10, Window: 10 * time.Second})
+	now := start.Add(10 * time.Second)
+	for range 5 {
+		gate.Admit(now, Request{Flow: Flow{Kind: 1}, FirstAttempt: true})
+	}
+	lookup := Request{Flow: Flow{Kind: 2}, Idempotent: true, FirstAttempt: true}
+	first, _, _ := gate.Admit(now, lookup)
+	g.Expect(gate.RetryShare()).To(BeZero())
+	lookup.FirstAttempt, lookup.Retry = false, true
+	gate.Admit(now, lookup)
+	g.Expect(gate.RetryShare()).To(Equal(0.5))
+	gate.Done(now, first, Success)
+	g.Expect(gate.RetryShare()).To(Equal(1.0))
+}
