--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -208,9 +208,10 @@
 	return x.maxQueueTime(now)
 }
 
-// maxWait returns the longest expected wait with which an answer is still worth a slot.
+// maxWait returns the longest expected wait with which an answer is still worth a slot. A request
+// that may be a call waits longer, since its parent does.
 func (x *exchange) maxWait(now time.Time) time.Duration {
-	if !x.request.call {
+	if !x.mayBeCall {
 		return gate.MaxWaitFor(x.objective.Sub(now), 0)
 	}
 	return gate.MaxWaitFor(x.objective.Sub(now), x.deadline.Sub(now))
--- a/internal/sidecar/attempts_test.go
+++ b/internal/sidecar/attempts_test.go
@@ -14,8 +14,8 @@
 	now := time.Now()
 	x := &exchange{started: now, objective: now.Add(-time.Second), deadline: now.Add(10 * time.Second)}
 	g.Expect(x.maxWait(now)).To(BeZero())
-	x.request.call = true
+	x.mayBeCall = true
 	g.Expect(x.maxWait(now)).To(Equal(time.Second))
-	x.request.call, x.objective = false, now.Add(2*time.Second)
+	x.mayBeCall, x.objective = false, now.Add(2*time.Second)
 	g.Expect(x.maxWait(now)).To(Equal(1200 * time.Millisecond))
 }
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -27,6 +27,9 @@
 	// defaultTimeout applies to requests for which neither the caller nor the route sets a
 	// timeout.
 	defaultTimeout = 30 * time.Second
+	// likelyCall is the probability above which a request is taken for a call of the local server where
+	// a call that is missed costs more than one too many.
+	likelyCall = 0.5
 	// defaultMaxBody bounds a request body in bytes if the configuration sets no limit.
 	defaultMaxBody = 1 << 20
 )
@@ -74,6 +77,8 @@
 	tried map[string]bool
 	// queueing is set once nodes may put the request into their queue.
 	queueing bool
+	// mayBeCall is set unless the request probably comes from a caller.
+	mayBeCall bool
 	// budgetRefusals counts the nodes that refused a retry for the retry budget.
 	budgetRefusals int
 	// rateWait is the time for which the rates that the servers accept keep the request out; 0 if
@@ -139,6 +144,7 @@
 	x.request.body = body
 	x.service = e.splitter.Choose(&x.route, rand.Float64)
 	isCall, callProbability := x.origin(account)
+	x.mayBeCall = isCall || callProbability > likelyCall
 	x.request.hopMetadata = hopMetadata{
 		priority:   x.priority(account),
 		idempotent: found.IsIdempotent(r.Method),
