sidecar: no retry whose calls the budget of the called service does not allow

Calls can't be refused for the budget. A host now refuses a retry of a kind that makes calls while fewer than half of the servers of a service that its server calls have retries left. Kinds that make no calls are learned from the time in which they run alone.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -279,6 +279,8 @@
 	incarnationSince time.Time
 	// runs counts the running requests of each kind.
 	runs map[uint32]runCount
+	// makers tells which kinds make calls.
+	makers callMakers
 	// lastCallFailure is the time of the newest failed call of the server that has not yet
 	// explained a failure.
 	lastCallFailure time.Time
@@ -292,6 +294,7 @@
 		health: NewHealthEstimate(now), serviceTime: initialServiceTime, workTime: initialServiceTime, onChange: onChange,
 		retries: retryCounter{started: now}, rate: rateLimit{burst: DefaultRateBurst},
 		flows: newFlows(), origins: origin.New(now), runs: map[uint32]runCount{},
+		makers: callMakers{since: now, kinds: map[uint32]*soloRuns{}},
 	}
 }
 
@@ -332,7 +335,8 @@
 }
 
 // countRun adds a number of runs of the kind of a request.
-func (g *Gate) countRun(request Request, change int) {
+func (g *Gate) countRun(now time.Time, request Request, change int) {
+	g.makers.advance(now, g.runs)
 	kind := request.Flow.Kind
 	count := g.runs[kind]
 	count.all += change
@@ -508,7 +512,7 @@
 	if ticket.request.Retry {
 		g.retries.recordRetry(now)
 	}
-	g.countRun(ticket.request, 1)
+	g.countRun(now, ticket.request, 1)
 	g.onChange()
 }
 
@@ -534,7 +538,7 @@
 	if ticket.trial {
 		g.trialRunning = false
 	}
-	g.countRun(ticket.request, -1)
+	g.countRun(now, ticket.request, -1)
 	if evidence == Success {
 		g.serviceTime += time.Duration(serviceTimeWeight * float64(now.Sub(ticket.started)-g.serviceTime))
 		if !ticket.request.Call {
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -215,6 +215,28 @@
 	return shortest
 }
 
+// WithRetriesLeft returns the share of the candidates with a recent report that have retries left; 1
+// if none has one.
+func (p *Picker) WithRetriesLeft(now time.Time, candidates []Candidate) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reported, left := 0, 0
+	for i := range candidates {
+		s := p.state(candidates[i].ID)
+		if s.reported.IsZero() || s.age(now) > maxReportAge {
+			continue
+		}
+		reported++
+		if s.load.RetriesLeft > 0 {
+			left++
+		}
+	}
+	if reported == 0 {
+		return 1
+	}
+	return float64(left) / float64(reported)
+}
+
 func (p *Picker) state(id string) *nodeState {
 	s, ok := p.nodes[id]
 	if !ok {
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -157,6 +157,10 @@
 		call:       isCall,
 		firstHop:   true, retryShare: e.host.gate.RetryShare() * callProbability,
 	}
+	if isCall {
+		e.host.gate.CallMade(now)
+		e.host.called.record(now, x.service)
+	}
 	return x, nil
 }
 
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
 	"github.com/tarragonford/tarragonford/internal/limit"
+	"github.com/tarragonford/tarragonford/internal/pick"
 	"github.com/tarragonford/tarragonford/internal/registration"
 	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
@@ -81,6 +82,10 @@
 	onAddressTaken func(registration.Incarnation)
 	// onLeaving is called with the registered incarnation if it says that it is about to stop.
 	onLeaving func(registration.Incarnation)
+	// picker knows the retry budgets of other services, of which called are those that the local
+	// server calls.
+	picker *pick.Picker
+	called calledServices
 	// loggedRate holds the bits of the rate limit that was logged last.
 	loggedRate atomic.Uint64
 	// loggedDoubtful tells whether the last log line about the server's health called it doubtful.
@@ -119,6 +124,9 @@
 		MaxWait:    r.queueLimit,
 		Retry:      r.retry, FirstAttempt: r.firstHop, RetryShare: r.retryShare,
 	}
+	if r.retry && h.gate.MayMakeCalls(r.kind) && !h.called.haveRetriesLeft(time.Now(), view, h.picker) {
+		return refuse(gate.RetryBudgetExhausted, 0)
+	}
 	ticket, reason, after := h.gate.Admit(time.Now(), work)
 	if reason != gate.NotRefused {
 		return refuse(reason, after)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -127,7 +127,7 @@
 		onVersion:     n.onPeerVersion, sizes: responseSizes{mean: map[string]float64{}}, departures: newDepartures(),
 		host: &host{
 			control: n.control, gate: n.gate, pool: n.servers, headers: deps.Headers, addr: s.ServerAddr,
-			log: n.log, telemetry: deps.Telemetry, onAddressTaken: n.forgetServer, onLeaving: n.markDeparted,
+			log: n.log, telemetry: deps.Telemetry, onAddressTaken: n.forgetServer, onLeaving: n.markDeparted, picker: n.picker,
 		},
 	}
 	n.beacons.self, n.beacons.control, n.beacons.gate, n.beacons.picker = self, n.control, n.gate, n.picker
