--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/tarragonford/tarragonford/internal/codes"
+	"github.com/tarragonford/tarragonford/internal/comeback"
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
@@ -25,11 +26,13 @@
 	hopsBeforeQueueing = 3
 	// maxHops bounds the number of nodes that one request is sent to.
 	maxHops = 10
+	// maxBudgetRefusals is the number of nodes that may refuse a retry for the retry budget before it is
+	// given up: once several have none left, what others have is soon taken, and each hop costs bytes.
+	maxBudgetRefusals = 3
 	// recheckInterval is the pause between two attempts to find a server that accepts a request.
 	recheckInterval = 25 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the retry delay suggested to refused callers.
+	// minRetryAfter is the shortest delay suggested to refused callers.
 	minRetryAfter = 200 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
 	// maxRateRetryAfter bounds the delay because of rate limits, which is known and not estimated.
 	maxRateRetryAfter = 10 * time.Second
 	// stopQueueShare is the fraction of the time until the stop limit that requests of a stopping
@@ -41,7 +44,7 @@
 // responds to the caller.
 func (x *exchange) run(ctx context.Context, w http.ResponseWriter) {
 	var last *httpconn.Response
-	waitUntil := x.started.Add(gate.MaxWaitFor(x.objective.Sub(x.started), x.deadline.Sub(x.started)))
+	waitUntil := x.started.Add(x.maxWait(x.started))
 	for hops := 0; hops < maxHops; {
 		if ctx.Err() != nil || x.attempts == 0 && x.checkStop() != nil {
 			break
@@ -91,7 +94,7 @@
 	now := time.Now()
 	query := pick.Query{
 		Idempotent:   x.request.idempotent,
-		Priority:     x.request.priority,
+		Priority:     gate.Rank(x.request.call, x.request.priority),
 		LastAttempt:  x.attempts > 0 && x.attempts+1 >= x.route.MaxAttempts && x.route.MaxAttempts > 0,
 		Objective:    x.objective.Sub(x.started),
 		MaxWait:      x.queueLimit(now),
@@ -138,7 +141,7 @@
 	if pool == nil {
 		return 0
 	}
-	return x.entry.picker.RateLimitedFor(time.Now(), pool.Candidates, x.request.priority)
+	return x.entry.picker.RateLimitedFor(time.Now(), pool.Candidates, gate.Rank(x.request.call, x.request.priority))
 }
 
 // waitForServer pauses before the next attempt to find a server that accepts the request. It
@@ -206,10 +209,19 @@
 	return x.maxQueueTime(now)
 }
 
+// maxWait returns the longest expected wait with which an answer is still worth a slot. A request
+// that may be a call waits longer, since its parent does.
+func (x *exchange) maxWait(now time.Time) time.Duration {
+	if !x.mayBeCall {
+		return gate.MaxWaitFor(x.objective.Sub(now), 0)
+	}
+	return gate.MaxWaitFor(x.objective.Sub(now), x.deadline.Sub(now))
+}
+
 // maxQueueTime returns how long the request may wait once it queues. On a stopping node the limit
 // is lower, so that the request still has time to run.
 func (x *exchange) maxQueueTime(now time.Time) time.Duration {
-	limit := gate.MaxWaitFor(x.objective.Sub(now), x.deadline.Sub(now))
+	limit := x.maxWait(now)
 	if end := x.view.StopAt; !end.IsZero() {
 		limit = min(limit, time.Duration(stopQueueShare*float64(end.Sub(now))))
 	}
@@ -274,7 +286,10 @@
 		e.picker.MarkRefused(now, member.ID, reply.refused.reason)
 		mayQueue := reply.refused.reason == gate.Busy || reply.refused.reason == gate.RateLimited
 		x.tried[member.ID] = !mayQueue || x.queueing
-		return true, nil
+		if reply.refused.reason == gate.RetryBudgetExhausted {
+			x.budgetRefusals++
+		}
+		return x.budgetRefusals < maxBudgetRefusals, nil
 	case reply.response == nil:
 		x.recordResult("answer-lost")
 		x.tried[member.ID] = true
@@ -362,15 +377,20 @@
 		e.fail(w, x, codes.NoServer.New("the servers of service %s get as many requests per second as they accept", x.service),
 			min(max(x.rateWait, minRetryAfter), maxRateRetryAfter))
 	default:
-		e.fail(w, x, codes.NoServer.New("no server of service %s accepts the request", x.service), x.retryAfter())
+		e.fail(w, x, codes.NoServer.New("no server of service %s accepts the request", x.service), x.retryAfter(false))
 	}
 }
 
-// retryAfter returns the time after which a server may accept the request.
-func (x *exchange) retryAfter() time.Duration {
-	pool := x.view.Services[x.service]
-	if pool == nil {
-		return maxRetryAfter
+// retryAfter returns the time after which the caller of a refused request should return. shed is set
+// if the last server refused it with room free.
+func (x *exchange) retryAfter(shed bool) time.Duration {
+	now := time.Now()
+	refused := comeback.Refused{Objective: x.objective.Sub(now), Remaining: x.deadline.Sub(now)}
+	if len(x.hops) > 0 {
+		refused.Service = x.hops[len(x.hops)-1].choice.Service
+	}
+	if pool := x.view.Services[x.service]; !shed && pool != nil {
+		refused.Room = x.entry.picker.NextAvailable(now, pool.Candidates)
 	}
-	return min(max(x.entry.picker.NextAvailable(time.Now(), pool.Candidates), minRetryAfter), maxRetryAfter)
+	return max(comeback.Delay(refused, rand.Float64), minRetryAfter)
 }
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -27,6 +27,9 @@
 	// defaultTimeout applies to requests for which neither the caller nor the route sets a
 	// timeout.
 	defaultTimeout = 30 * time.Second
+	// likelyCall is the probability above which a request is taken for a call of the local server where
+	// a call that is missed costs more than one too many.
+	likelyCall = 0.5
 	// defaultMaxBody bounds a request body in bytes if the configuration sets no limit.
 	defaultMaxBody = 1 << 20
 )
@@ -76,6 +79,10 @@
 	tried map[string]bool
 	// queueing is set once nodes may put the request into their queue.
 	queueing bool
+	// mayBeCall is set unless the request probably comes from a caller.
+	mayBeCall bool
+	// budgetRefusals counts the nodes that refused a retry for the retry budget.
+	budgetRefusals int
 	// rateWait is the time for which the rates that the servers accept keep the request out; 0 if
 	// they do not, or not for too long.
 	rateWait time.Duration
@@ -84,6 +91,8 @@
 	// returnAfter is the time after which the caller of a request that its account may not send may
 	// return.
 	returnAfter time.Duration
+	// retryDelay is the delay that a refused caller was told; 0 for none.
+	retryDelay time.Duration
 	// hops are the nodes that were asked, for the log.
 	hops []hopRecord
 }
@@ -152,6 +161,8 @@
 	}
 	x.request.body = body
 	x.service = e.splitter.Choose(&x.route, rand.Float64)
+	isCall, callProbability := x.origin(account)
+	x.mayBeCall = isCall || callProbability > likelyCall
 	x.request.hopMetadata = hopMetadata{
 		priority:   x.priority(account),
 		idempotent: found.IsIdempotent(r.Method),
@@ -161,11 +172,28 @@
 		inbound:    e.settings.Inbound,
 		account:    account,
 		kind:       kindOf(found.ID),
-		firstHop:   true, retryShare: e.host.gate.RetryShare(),
+		call:       isCall,
+		firstHop:   true, retryShare: e.host.gate.RetryShare() * callProbability,
+	}
+	if isCall {
+		e.host.gate.CallMade(now)
+		e.host.called.record(now, x.service)
 	}
 	return x, nil
 }
 
+// origin tells whether the local server made the request, and the probability of that. Calls carry no
+// account key. Where accounts are in use, a request without a key is a call unless callers send
+// its kind as well.
+func (x *exchange) origin(account AccountName) (isCall bool, probability float64) {
+	if account.Name != "" {
+		return false, 0
+	}
+	estimate := x.entry.host.gate.Origin(x.started, kindOf(x.route.ID))
+	isCall = estimate.Call || account.InUse && estimate.CallProbability == 1
+	return isCall, estimate.CallProbability
+}
+
 // pathOf returns the path as the caller sent it, still escaped.
 func pathOf(r *http.Request) string { return r.URL.EscapedPath() }
 
@@ -253,11 +281,18 @@
 	if e.control.View().Leaving {
 		header.Set("Connection", "close")
 	}
+	after := time.Duration(0)
+	if response.Status == http.StatusServiceUnavailable && e.headers.NotRun(response.Status, response.Header) && header.Get("Retry-After") == "" {
+		// The gate sent the request to a free slot, so the server refused it with room free.
+		after = x.retryAfter(true)
+		e.headers.SetRetryAfter(header, after)
+	}
 	if response.Status >= http.StatusInternalServerError {
 		e.host.gate.CallFailed(time.Now())
 	}
 	w.WriteHeader(response.Status)
 	_, err := w.Write(response.Body)
+	x.retryDelay = after
 	e.finish(x, response.Status, 0, err)
 	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		panic(http.ErrAbortHandler)
@@ -287,6 +322,7 @@
 	}
 	e.host.gate.CallFailed(time.Now())
 	problem.Write(w, x.request.id, err)
+	x.retryDelay = after
 	e.finish(x, err.Code.Status, err.Code.Number, err)
 }
 
@@ -303,6 +339,9 @@
 	took := time.Since(x.started)
 	e.telemetry.Metrics.Requests.Inc(resultOf(code))
 	e.telemetry.Metrics.Attempts.Add(int64(x.attempts))
+	if x.retryDelay > 0 {
+		e.telemetry.Metrics.ReturnsSuggested.Inc()
+	}
 	e.telemetry.Metrics.RequestTime.Record(took)
 	version := uint64(0)
 	if x.view.Config != nil {
@@ -319,6 +358,7 @@
 		zap.String("route", x.route.ID),
 		zap.String("target_service", x.service),
 		zap.Int("priority", x.request.priority),
+		zap.Bool("call", x.request.call),
 		zap.Bool("idempotent", x.request.idempotent),
 		zap.String("account", x.request.account.Name),
 		zap.Int("status", status),
@@ -327,5 +367,6 @@
 		zap.Objects("hops", x.hops),
 		zap.Int("attempts", x.attempts),
 		zap.Uint64("config", version),
+		zap.Duration("retry_after", x.retryDelay),
 		zap.Duration("took", took))
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
 	"github.com/tarragonford/tarragonford/internal/limit"
+	"github.com/tarragonford/tarragonford/internal/pick"
 	"github.com/tarragonford/tarragonford/internal/registration"
 	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
@@ -61,6 +62,8 @@
 	// departed is the server incarnation that responded, if it announced its departure.
 	departed *registration.Incarnation
 	report   loadReport
+	// waited is the time that the request waited for a slot.
+	waited time.Duration
 	// hasReport tells whether the host reported its load.
 	hasReport bool
 }
@@ -79,6 +82,10 @@
 	onAddressTaken func(registration.Incarnation)
 	// onLeaving is called with the registered incarnation if it says that it is about to stop.
 	onLeaving func(registration.Incarnation)
+	// picker knows the retry budgets of other services, of which called are those that the local
+	// server calls.
+	picker *pick.Picker
+	called calledServices
 	// loggedRate holds the bits of the rate limit that was logged last.
 	loggedRate atomic.Uint64
 	// loggedDoubtful tells whether the last log line about the server's health called it doubtful.
@@ -110,21 +117,30 @@
 	}
 	work := gate.Request{
 		Priority:   r.priority,
+		Call:       r.call,
+		Flow:       gate.Flow{Kind: r.kind, Account: r.account.Name},
 		Idempotent: r.idempotent,
 		Objective:  r.arrived.Add(r.objective),
 		MaxWait:    r.queueLimit,
 		Retry:      r.retry, FirstAttempt: r.firstHop, RetryShare: r.retryShare,
 	}
+	if r.retry && h.gate.MayMakeCalls(r.kind) && !h.called.haveRetriesLeft(time.Now(), view, h.picker) {
+		return refuse(gate.RetryBudgetExhausted, 0)
+	}
 	ticket, reason, after := h.gate.Admit(time.Now(), work)
 	if reason != gate.NotRefused {
 		return refuse(reason, after)
 	}
+	asked := time.Now()
 	if !h.gate.Running(ticket) {
 		if reason := h.wait(ctx, ticket, r.queueLimit); reason != gate.NotRefused {
 			return refuse(reason, 0)
 		}
 	}
-	return h.run(ctx, view.Server, ticket, r)
+	waited := time.Since(asked)
+	reply := h.run(ctx, view.Server, ticket, r)
+	reply.waited = waited
+	return reply
 }
 
 // wait returns when the request may run, or the reason why it may not. Requests that were admitted
@@ -271,6 +287,13 @@
 		status = reply.response.Status
 	}
 	h.telemetry.Metrics.HostRequests.Inc(resultOf(code))
+	if r.call {
+		h.telemetry.Metrics.Calls.Inc()
+	}
+	h.telemetry.Metrics.Queued.Set(int64(reply.report.QueueLength()))
+	if reply.refused == nil {
+		h.telemetry.Metrics.AdmissionTime.Record(reply.waited)
+	}
 	level := zap.InfoLevel
 	if result == "lost" || status >= http.StatusInternalServerError {
 		level = zap.WarnLevel
@@ -285,6 +308,8 @@
 		zap.Float64("doubt", reply.report.FailureProbability),
 		zap.Bool("idempotent", r.idempotent),
 		zap.Bool("repeat", r.retry),
+		zap.Bool("call", r.call),
+		zap.Duration("waited", reply.waited),
 		zap.Int("repeats_left", reply.report.RetriesLeft),
 		zap.Uint64("entry_config", r.version),
 		zap.String("entry", r.inbound),
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -56,6 +56,10 @@
 	// undecided because no home replied. QuotaOwnPart counts those admitted without a home.
 	QuotaRefused *CounterVec[string]
 	QuotaOwnPart Counter
+	// Calls counts requests at the host node that running requests of other servers wait for.
+	Calls Counter
+	// ReturnsSuggested counts refused requests whose callers were told when to return.
+	ReturnsSuggested Counter
 	// LateAnswers counts responses dropped because nothing was waiting for them any more.
 	LateAnswers Counter
 	// WrongAnswers counts responses dropped because they carried the ID of another request.
