pick: draw among servers in proportion to the room that unseen requests leave

Cause: every node chose the server of the lowest cost by reports of 50 ms to a second ago, so all of them chose the same one until its next report, and a report faded towards an idle server with its age. Change: the requests that a report does not show are estimated from the load that the servers of the data centre report, and fill the cheapest servers up to one level of cost; the request is drawn in proportion to the room below it. The load of the own server is read directly. LeastCost stays as a policy, for comparison. tarragon-load experiment even-load compares both with two random choices and an oracle, with failing servers and several data centres. The test of herds fails with LeastCost, the choice before.

--- a/cmd/tarragon-load/experiments.go
+++ b/cmd/tarragon-load/experiments.go
@@ -14,6 +14,7 @@
 		experiment.Detection,
 		experiment.Routing,
 		experiment.Overload,
+		experiment.EvenLoad,
 	}
 }
 
@@ -23,7 +24,7 @@
 	CSV  string `long:"csv" value-name:"FILE" description:"write the table to this file"`
 	Plot string `long:"plot" value-name:"FILE.svg" description:"plot the table to this SVG file"`
 	Args struct {
-		Name string `positional-arg-name:"NAME" description:"detection, routing or overload"`
+		Name string `positional-arg-name:"NAME" description:"detection, routing, overload or even-load"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -34,5 +35,5 @@
 			return definition.Execute(experiment.Options{Seed: c.Seed, CSV: c.CSV, Plot: c.Plot}, os.Stdout)
 		}
 	}
-	return trace.NotFound("unknown experiment %q: use detection, routing or overload", c.Args.Name)
+	return trace.NotFound("unknown experiment %q: use detection, routing, overload or even-load", c.Args.Name)
 }
--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -4,8 +4,8 @@
 // # Choice
 //
 // Each node beside a server reports its load and health with its answers and in
-// beacons. Picker keeps the newest report of each node and chooses the candidate
-// with the lowest cost, in units of one lost request:
+// beacons. Picker keeps the newest report of each node. The cost of a candidate, in
+// units of one lost request, is
 //
 //	loss x failure probability + wait / objective + utilization + transfer
 //
@@ -17,6 +17,24 @@
 // and the answer. Where a free slot is needed, a request may still queue in its own
 // data centre for as long as the transfer to another one is worth.
 //
+// The data centre of the candidate with the lowest cost gets the request.
+//
+// # Old reports
+//
+// Within the data centre, WaterFilling accounts for the requests that other choosers
+// send by the same reports. Of the requests that a report shows, exp(-age / service
+// time) still run; in a steady state as many others have replaced the rest. These
+// unseen arrivals, summed over the servers, fill the cheapest servers up to one level
+// of cost, and the request goes to a server with room below the level, drawn in
+// proportion to that room. With fresh reports this is the server of the lowest cost,
+// with old ones a draw in proportion to free slots. LeastCost takes the server of the
+// lowest cost at any age.
+//
+// The estimate follows a burst only with the next reports, and counts the choosers of
+// other data centres only where their requests already run.
+//
+// # Trials and exclusion
+//
 // A server that has failed is not chosen again while others have room, so nothing
 // would show that it has recovered. A server without a result for a while is
 // therefore cheaper for requests from its data centre that can be retried elsewhere.
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -8,51 +8,6 @@
 	"github.com/tarragonford/tarragonford/internal/gate"
 )
 
-// Costs are relative to the loss of a request that cannot be retried, which costs 1. An expected
-// wait as long as the remaining time of the latency objective costs the same.
-const (
-	// IdempotentFailureCost is the cost of a failed attempt of an idempotent request that can be
-	// retried.
-	IdempotentFailureCost = 0.35
-	// otherDataCentreCost and otherRegionCost are the costs of sending a request to another data
-	// centre of the same region and to another region. costPerKilobyte is added for each kilobyte
-	// of its body and answer.
-	otherDataCentreCost = 0.04
-	otherRegionCost     = 0.2
-	costPerKilobyte     = 0.025
-	// utilizationCost is the cost of taking the last free slot of a server. Slots before it cost
-	// less, since servers slow down as they fill.
-	utilizationCost = 0.15
-	// coldCost is the cost of a server that is slow after its start.
-	coldCost = 0.15
-	// noResultTime is the time without a result after which a server gets an idempotent request as
-	// a trial, to learn its health. It is less than the 2 s within which the platform requires every
-	// healthy server to get requests.
-	noResultTime = 1500 * time.Millisecond
-	// trialBonus is deducted from the cost of a server that needs such a trial. It applies only in
-	// the entry's own data centre, since each data centre has entries that try its servers.
-	trialBonus = 0.25
-	// maxReportAge is the age up to which a report is taken as the node's own decision, slightly
-	// more than the longest time between two beacons.
-	maxReportAge = 1200 * time.Millisecond
-	// usualFailureProbability is the failure probability of a server that has not reported.
-	usualFailureProbability = 0.2
-	// healthDecayTime and loadDecayTime are the times within which a report loses most of its
-	// weight.
-	healthDecayTime = 2 * time.Second
-	loadDecayTime   = time.Second
-	// tieBreakRange is the range of a random cost that spreads the choice over candidates of about
-	// the same cost.
-	tieBreakRange = 0.02
-	// minBackoff and MaxBackoff bound the time for which an unreachable node is excluded.
-	minBackoff = 250 * time.Millisecond
-	MaxBackoff = 2 * time.Second
-	// defaultSlots is the capacity assumed before the first report.
-	defaultSlots = 4
-	// defaultServiceTime is the service time assumed before the first report.
-	defaultServiceTime = 300 * time.Millisecond
-)
-
 // Candidate is a node beside a backend server of the service.
 type Candidate struct {
 	ID         string
@@ -83,29 +38,44 @@
 	Exclude func(id string) bool
 }
 
+// Policy tells how a choice makes up for the age of reports.
+type Policy int
+
+const (
+	// WaterFilling draws among the servers that the requests since the reports leave cheapest.
+	WaterFilling Policy = iota
+	// LeastCost takes the server of the lowest cost, and lets a reported load fade with its age.
+	LeastCost
+)
+
 // Picker chooses between nodes by their reports. It is safe for concurrent use.
 type Picker struct {
 	dataCentre, region string
+	policy             Policy
 
 	mu    sync.Mutex
 	nodes map[string]*nodeState
+	// groups and known describe the data centres and the candidates of the current request. Their
+	// memory is used again.
+	groups []group
+	known  []knowledge
 }
 
-// nodeState is what is known of one node.
-type nodeState struct {
-	load gate.Load
-	// reported is the arrival time of load; zero before the first report.
-	reported time.Time
-	// sent are the times of the requests that this picker has sent there since the report.
-	sent []time.Time
-	// excludedUntil is the end of the backoff after a refusal or a failed connection.
-	excludedUntil time.Time
-	backoff       time.Duration
+// knowledge is what a choice uses of a candidate's report.
+type knowledge struct {
+	state *nodeState
+	// group is the index of the data centre.
+	group int
+	// stillRunning is the share of the reported requests that is expected to run still.
+	stillRunning float64
 }
 
 // New returns a picker for an entry in a data centre.
-func New(dataCentre, region string) *Picker {
-	return &Picker{dataCentre: dataCentre, region: region, nodes: map[string]*nodeState{}}
+func New(dataCentre, region string) *Picker { return NewWithPolicy(dataCentre, region, WaterFilling) }
+
+// NewWithPolicy returns a picker that follows a policy.
+func NewWithPolicy(dataCentre, region string, policy Policy) *Picker {
+	return &Picker{dataCentre: dataCentre, region: region, policy: policy, nodes: map[string]*nodeState{}}
 }
 
 // Choice is the chosen candidate and what was known of it.
@@ -123,53 +93,107 @@
 	Service time.Duration
 }
 
-// Choose returns the candidate with the lowest cost, or false if none accepts the request. random
-// yields uniform numbers from 0 to 1.
+// Choose returns the candidate for a request, or false if none accepts it. random yields uniform
+// numbers from 0 to 1.
 func (p *Picker) Choose(now time.Time, random func() float64, candidates []Candidate, q Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, bestCost := -1, math.Inf(1)
+	p.observe(now, candidates, q)
+	p.admit(now, random, candidates, q)
+	g, best, lowest := p.cheapest()
+	if best == nil {
+		return Choice{}, false
+	}
+	if p.policy == WaterFilling {
+		best = g.choose(best, lowest, random)
+	}
+	s := p.known[best.index].state
+	choice := s.choice(now)
+	choice.Index, choice.ExpectedWait = best.index, best.expectedWait
+	s.sent = append(newerThan(s.sent, now.Add(-maxReportAge)), now)
+	return choice, true
+}
+
+// cheapest returns the server with the lowest cost by the reports and its data centre. Unseen
+// arrivals do not count here, so that a request leaves its data centre only for a certain gain.
+func (p *Picker) cheapest() (in *group, best *curve, lowest float64) {
+	limit := math.Inf(1)
+	for i := range p.groups {
+		g := &p.groups[i]
+		if c, cost := g.cheapest(); c != nil && cost+g.transfer < limit {
+			in, best, lowest, limit = g, c, cost, cost+g.transfer
+		}
+	}
+	return in, best, lowest
+}
+
+// observe reads what is known of the candidates and sorts them by data centre.
+func (p *Picker) observe(now time.Time, candidates []Candidate, q Query) {
+	p.groups, p.known = p.groups[:0], p.known[:0]
+	for i := range candidates {
+		k := knowledge{state: p.state(candidates[i].ID), group: p.groupOf(&candidates[i], q)}
+		k.stillRunning = k.state.stillRunning(now)
+		p.groups[k.group].observe(&k)
+		p.known = append(p.known, k)
+	}
+}
+
+// admit adds the candidates that accept the request to their groups.
+func (p *Picker) admit(now time.Time, random func() float64, candidates []Candidate, q Query) {
 	for i := range candidates {
-		c := &candidates[i]
-		s := p.state(c.ID)
-		if !s.accepts(now, q, p.maxWait(c, q), c.DataCentre != p.dataCentre) || q.Exclude != nil && q.Exclude(c.ID) {
+		c, s := &candidates[i], p.known[i].state
+		g := &p.groups[p.known[i].group]
+		local := c.DataCentre == p.dataCentre
+		load := p.upToDate(&p.known[i], g)
+		wait := load.ExpectedWait(q.Priority, len(s.sent), s.age(now))
+		if !s.accepts(now, q, load, p.maxWait(c, q), !local) || q.Exclude != nil && q.Exclude(c.ID) {
 			continue
 		}
-		cost := s.cost(now, q) + p.transferCost(c, q) + tieBreakRange*random()
-		if c.DataCentre == p.dataCentre && s.needsTrial(now, q) {
-			cost -= trialBonus
-		}
-		if cost < bestCost {
-			best, bestCost = i, cost
+		added := s.curve(p.policy, now, q, p.runningNow(&p.known[i], now))
+		added.index, added.expectedWait = i, wait
+		added.base += tieBreakRange * random()
+		if local && s.needsTrial(now, q) {
+			added.base -= trialBonus
 		}
+		g.curves = append(g.curves, added)
 	}
-	if best < 0 {
-		return Choice{}, false
-	}
-	s := p.state(candidates[best].ID)
-	choice := s.choice(now, q)
-	choice.Index = best
-	s.sent = append(newerThan(s.sent, now.Add(-maxReportAge)), now)
-	return choice, true
 }
 
-func (s *nodeState) choice(now time.Time, q Query) Choice {
-	c := Choice{FailureProbability: usualFailureProbability, Service: s.load.Service, ExpectedWait: s.load.ExpectedWait(q.Priority, len(s.sent), s.age(now))}
-	if !s.reported.IsZero() {
-		c.Known, c.Age = true, now.Sub(s.reported)
-		c.FailureProbability = s.failureProbability(now)
+// upToDate returns the load that a server is expected to have now, if it gets as many requests as the
+// mean of its data centre.
+func (p *Picker) upToDate(k *knowledge, g *group) gate.Load {
+	load := k.state.load
+	if p.policy == WaterFilling {
+		load.Running = int(math.Ceil(float64(load.Running)*k.stillRunning + g.meanRunning()*(1-k.stillRunning)))
 	}
-	return c
+	return load
 }
 
-// age is the age of the newest report.
-func (s *nodeState) age(now time.Time) time.Duration { return now.Sub(s.reported) }
+// runningNow returns how many of the requests that ran at the time of the report count now.
+func (p *Picker) runningNow(k *knowledge, now time.Time) float64 {
+	share := k.stillRunning
+	if p.policy == LeastCost {
+		share = math.Exp(-k.state.age(now).Seconds() / loadDecayTime.Seconds())
+	}
+	return float64(k.state.load.Running) * share
+}
 
-// failureProbability returns the reported probability, which drifts to the usual one as the report
-// ages.
-func (s *nodeState) failureProbability(now time.Time) float64 {
-	age := now.Sub(s.reported).Seconds()
-	return usualFailureProbability + (s.load.FailureProbability-usualFailureProbability)*math.Exp(-age/healthDecayTime.Seconds())
+// groupOf returns the index of the group of a candidate's data centre. A new group uses the memory
+// of earlier requests.
+func (p *Picker) groupOf(c *Candidate, q Query) int {
+	for i := range p.groups {
+		if p.groups[i].dataCentre == c.DataCentre {
+			return i
+		}
+	}
+	n := len(p.groups)
+	if n < cap(p.groups) {
+		p.groups = p.groups[:n+1]
+	} else {
+		p.groups = append(p.groups, group{})
+	}
+	p.groups[n] = group{dataCentre: c.DataCentre, transfer: p.transferCost(c, q), curves: p.groups[n].curves[:0]}
+	return n
 }
 
 // NextAvailable returns the time after which one of the candidates may accept requests.
@@ -213,181 +237,3 @@
 	}
 	return shortest
 }
-
-func (p *Picker) state(id string) *nodeState {
-	s, ok := p.nodes[id]
-	if !ok {
-		s = &nodeState{}
-		p.nodes[id] = s
-	}
-	return s
-}
-
-// accepts reports whether the node is not known to refuse the request.
-func (s *nodeState) accepts(now time.Time, q Query, maxWait time.Duration, remote bool) bool {
-	if now.Before(s.excludedUntil) {
-		return false
-	}
-	age := now.Sub(s.reported)
-	if s.reported.IsZero() || age > maxReportAge {
-		return true
-	}
-	// The node refuses all requests, or has no retries left for this one, or stops before the
-	// deadline of the request.
-	if !s.load.Open || q.Retry && s.load.RetriesLeft < 1 || s.load.StopsIn > 0 && q.Remaining > s.load.StopsIn-age {
-		return false
-	}
-	// An unhealthy server gets only a trial: an idempotent request that can be retried elsewhere,
-	// when a trial is due and nothing was sent there since the report. A request that may not wait
-	// is no trial in another data centre. A trial does not wait for a rate limit.
-	if !s.load.Healthy() && (!q.Idempotent || q.LastAttempt || age < s.load.TrialIn || len(s.sent) > 0 || remote && maxWait == 0 ||
-		s.load.RateWait(s.load.Ahead(gate.PriorityLevels), age) > 0) {
-		return false
-	}
-	unreported := len(s.sent)
-	if remote && maxWait == 0 {
-		// Reports from other data centres are older, and a refused hop costs more there.
-		unreported++
-	}
-	return s.load.ExpectedWait(q.Priority, unreported, age) <= maxWait
-}
-
-// maxWait returns how long the request may be expected to wait at a candidate: MaxWait, or longer
-// in the entry's own data centre, up to LocalMaxWait, while the wait costs no more than a transfer
-// to another data centre, even if a slot is free there.
-func (p *Picker) maxWait(c *Candidate, q Query) time.Duration {
-	if c.DataCentre != p.dataCentre {
-		return q.MaxWait
-	}
-	worth := time.Duration((otherDataCentreCost + bytesCost(q)) * float64(q.Objective))
-	return max(q.MaxWait, min(q.LocalMaxWait, worth))
-}
-
-// bytesCost is the cost of sending the bytes of a request and its answer between data centres.
-func bytesCost(q Query) float64 { return costPerKilobyte * float64(q.Bytes) / 1024 }
-
-func (s *nodeState) cost(now time.Time, q Query) float64 {
-	loss := 1.0
-	if q.Idempotent && !q.LastAttempt {
-		loss = IdempotentFailureCost
-	}
-	load, probability := s.load, usualFailureProbability
-	if s.reported.IsZero() {
-		load = gate.Load{Slots: defaultSlots, Service: defaultServiceTime}
-	} else {
-		age := now.Sub(s.reported).Seconds()
-		probability = s.failureProbability(now)
-		load.Running = int(float64(load.Running) * math.Exp(-age/loadDecayTime.Seconds()))
-	}
-	cost := loss*probability + s.loadCost(load, q, s.age(now))
-	if load.Cold {
-		cost += coldCost
-	}
-	return cost
-}
-
-// needsTrial reports whether the request is suited to show the health of a server that has had no
-// result for a while.
-func (s *nodeState) needsTrial(now time.Time, q Query) bool {
-	return q.Idempotent && !q.LastAttempt && len(s.sent) == 0 && !s.reported.IsZero() &&
-		s.load.SinceLastResult+now.Sub(s.reported) >= noResultTime
-}
-
-// loadCost returns the cost of the expected utilization and wait.
-func (s *nodeState) loadCost(load gate.Load, q Query, age time.Duration) float64 {
-	utilization := min(float64(load.Running+len(s.sent)+1)/float64(max(load.Slots, 1)), 1)
-	cost := utilizationCost * utilization * utilization
-	if q.Objective > 0 {
-		cost += load.ExpectedWait(q.Priority, len(s.sent), age).Seconds() / q.Objective.Seconds()
-	}
-	return cost
-}
-
-func (p *Picker) transferCost(c *Candidate, q Query) float64 {
-	bytes := bytesCost(q)
-	switch {
-	case c.DataCentre == p.dataCentre:
-		return 0
-	case c.Region == p.region:
-		return otherDataCentreCost + bytes
-	}
-	return otherRegionCost + bytes
-}
-
-// Report records the load that a node sent with an answer. It returns true if the node was
-// considered unreachable before.
-func (p *Picker) Report(now time.Time, id string, load gate.Load) (recovered bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.state(id)
-	recovered = s.backoff > 0
-	s.update(now, load, true)
-	return recovered
-}
-
-// UpdateLoad records the load of a node as it was at a time, unless a newer one is known. direct is
-// set if it came from the node itself; a report that others forward does not show that the node can
-// be reached.
-func (p *Picker) UpdateLoad(at time.Time, id string, load gate.Load, direct bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.state(id); at.After(s.reported) {
-		s.update(at, load, direct)
-	}
-}
-
-func (s *nodeState) update(at time.Time, load gate.Load, reachable bool) {
-	s.load, s.reported, s.sent = load, at, newerThan(s.sent, at)
-	if !reachable {
-		return
-	}
-	s.backoff = 0
-	if load.Open {
-		s.excludedUntil = time.Time{}
-	}
-}
-
-// newerThan drops the times up to a limit from an ascending list.
-func newerThan(times []time.Time, limit time.Time) []time.Time {
-	i := 0
-	for i < len(times) && !times[i].After(limit) {
-		i++
-	}
-	return append(times[:0], times[i:]...)
-}
-
-// MarkRefused excludes a node for a while whose server does not accept requests. Other refusals
-// need no exclusion: the report that comes with them shows which requests the node refuses.
-func (p *Picker) MarkRefused(now time.Time, id string, refusal gate.Refusal) {
-	if refusal != gate.Closed {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.state(id).backOff(now)
-}
-
-// MarkUnreachable records a failed connection. It returns the time for which the node is excluded.
-func (p *Picker) MarkUnreachable(now time.Time, id string) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.state(id)
-	s.backOff(now)
-	return s.backoff
-}
-
-func (s *nodeState) backOff(now time.Time) {
-	s.backoff = min(max(2*s.backoff, minBackoff), MaxBackoff)
-	s.excludedUntil = now.Add(s.backoff)
-}
-
-// Retain forgets the nodes that known does not report.
-func (p *Picker) Retain(known func(id string) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id := range p.nodes {
-		if !known(id) {
-			delete(p.nodes, id)
-		}
-	}
-}
