pick: draw only among servers whose cost apart from load is about the same

Avoiding a refused hop isn't worth a failure. Change: servers whose fixed cost is more than 0.03 above that of the cheapest one take no part. The read of the own server's load at each choice is taken out again, since it forgot the requests on their way and so repeated trials.

--- a/internal/pick/level.go
+++ b/internal/pick/level.go
@@ -13,6 +13,10 @@
 	// reportLife is the mean time for which a report is used, relative to its mean age when it is used:
 	// all choosers use it until the next one.
 	reportLife = 2
+	// maxBaseDifference is the cost above that of the cheapest server up to which others take part in
+	// the draw, apart from load. A refusal by a server that turns out to be full costs the time of a
+	// hop, so that avoiding it is not worth a higher risk of a failure.
+	maxBaseDifference = 0.03
 	// negligibleArrivals is the number of unseen arrivals below which reports count as fresh.
 	negligibleArrivals = 0.01
 )
@@ -163,15 +167,27 @@
 	return last
 }
 
+// keepSimilar drops the servers whose cost apart from their load exceeds that of another one.
+func (g *group) keepSimilar(to float64) {
+	kept := g.curves[:0]
+	for _, c := range g.curves {
+		if c.base <= to+maxBaseDifference {
+			kept = append(kept, c)
+		}
+	}
+	g.curves = kept
+}
+
 // choose draws the server for a request among those that are the cheapest ones after the unseen
 // arrivals; best is the cheapest one by the reports.
-func (g *group) choose(best *curve, lowest float64, random func() float64) *curve {
+func (g *group) choose(best curve, lowest float64, random func() float64) curve {
+	g.keepSimilar(best.base)
 	arrivals := g.unseenArrivals()
 	if arrivals < negligibleArrivals {
 		return best
 	}
 	if drawn := g.draw(g.level(arrivals, lowest), random()); drawn != nil {
-		return drawn
+		return *drawn
 	}
 	return best
 }
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -104,12 +104,13 @@
 	if best == nil {
 		return Choice{}, false
 	}
+	chosen := *best
 	if p.policy == WaterFilling {
-		best = g.choose(best, lowest, random)
+		chosen = g.choose(chosen, lowest, random)
 	}
-	s := p.known[best.index].state
+	s := p.known[chosen.index].state
 	choice := s.choice(now)
-	choice.Index, choice.ExpectedWait = best.index, best.expectedWait
+	choice.Index, choice.ExpectedWait = chosen.index, chosen.expectedWait
 	s.sent = append(newerThan(s.sent, now.Add(-maxReportAge)), now)
 	return choice, true
 }
@@ -143,22 +144,29 @@
 	for i := range candidates {
 		c, s := &candidates[i], p.known[i].state
 		g := &p.groups[p.known[i].group]
-		local := c.DataCentre == p.dataCentre
 		load := p.upToDate(&p.known[i], g)
-		wait := load.ExpectedWait(q.Priority, len(s.sent), s.age(now))
-		if !s.accepts(now, q, load, p.maxWait(c, q), !local) || q.Exclude != nil && q.Exclude(c.ID) {
+		if p.objection(now, &p.known[i], *c, load, q) != NoObjection {
 			continue
 		}
 		added := s.curve(p.policy, now, q, p.runningNow(&p.known[i], now))
-		added.index, added.expectedWait = i, wait
+		added.index, added.expectedWait = i, load.ExpectedWait(q.Priority, len(s.sent), s.age(now))
 		added.base += tieBreakRange * random()
-		if local && s.needsTrial(now, q) {
+		if c.DataCentre == p.dataCentre && s.needsTrial(now, q) {
 			added.base -= trialBonus
 		}
 		g.curves = append(g.curves, added)
 	}
 }
 
+// objection returns why a candidate is not considered.
+func (p *Picker) objection(now time.Time, k *knowledge, c Candidate, load gate.Load, q Query) Objection {
+	o := k.state.objection(now, q, load, p.maxWait(&c, q), c.DataCentre != p.dataCentre)
+	if o == NoObjection && q.Exclude != nil && q.Exclude(c.ID) {
+		return Tried
+	}
+	return o
+}
+
 // upToDate returns the load that a server is expected to have now, if it gets as many requests as the
 // mean of its data centre.
 func (p *Picker) upToDate(k *knowledge, g *group) gate.Load {
--- a/internal/pick/reports.go
+++ b/internal/pick/reports.go
@@ -47,34 +47,40 @@
 	return usualFailureProbability + (s.load.FailureProbability-usualFailureProbability)*math.Exp(-age/healthDecayTime.Seconds())
 }
 
-// accepts reports whether the node is not known to refuse the request. load is the report brought up
-// to date.
-func (s *nodeState) accepts(now time.Time, q Query, load gate.Load, maxWait time.Duration, remote bool) bool {
+// objection returns why the node is known to refuse the request. load is the report brought up to
+// date.
+func (s *nodeState) objection(now time.Time, q Query, load gate.Load, maxWait time.Duration, remote bool) Objection {
 	if now.Before(s.excludedUntil) {
-		return false
+		return Excluded
 	}
 	age := now.Sub(s.reported)
 	if s.reported.IsZero() || age > maxReportAge {
-		return true
+		return NoObjection
 	}
-	// The node refuses all requests, or has no retries left for this one, or stops before the
-	// deadline of the request.
-	if !s.load.Open || q.Retry && s.load.RetriesLeft < 1 || s.load.StopsIn > 0 && q.Remaining > s.load.StopsIn-age {
-		return false
+	switch {
+	case !s.load.Open:
+		return Closed
+	case q.Retry && s.load.RetriesLeft < 1:
+		return NoRetriesLeft
+	case s.load.StopsIn > 0 && q.Remaining > s.load.StopsIn-age:
+		return Stopping
 	}
 	// An unhealthy server gets only a trial: an idempotent request that can be retried elsewhere,
 	// when a trial is due and nothing was sent there since the report. A request that may not wait
 	// is no trial in another data centre. A trial does not wait for a rate limit.
 	if !s.load.Healthy() && (!q.Idempotent || q.LastAttempt || age < s.load.TrialIn || len(s.sent) > 0 || remote && maxWait == 0 ||
 		s.load.RateWait(s.load.Ahead(gate.PriorityLevels), age) > 0) {
-		return false
+		return Unhealthy
 	}
 	unreported := len(s.sent)
 	if remote && maxWait == 0 {
 		// Reports from other data centres are older, and a refused hop costs more there.
 		unreported++
 	}
-	return load.ExpectedWait(q.Priority, unreported, age) <= maxWait
+	if load.ExpectedWait(q.Priority, unreported, age) > maxWait {
+		return NoRoom
+	}
+	return NoObjection
 }
 
 // needsTrial reports whether the request is suited to show the health of a server that has had no
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -101,8 +101,6 @@
 		Bytes:        e.sizes.meanOf(x.route.ID) + len(x.request.body),
 		Exclude:      func(id string) bool { _, tried := x.tried[id]; return tried },
 	}
-	// The load of the own server needs no message.
-	e.picker.UpdateLoad(now, e.settings.Node, x.view.adjustLoad(now, e.host.gate.Load(now)), true)
 	choice, ok := e.picker.Choose(now, rand.Float64, pool.Candidates, query)
 	if !ok && x.startQueueing() {
 		query.MaxWait = x.queueLimit(now)
