pick: old reports are read against the mean of the healthy servers

Cause: a report of a full server kept it out until the next one, at any age, and the load of servers in other data centres, whose reports are older, faded to nothing, so that they looked emptier than near ones. Unhealthy servers, which run nothing, lowered the mean on which the unseen arrivals rest. Change: the requests that have ended since a report count as replaced by the mean of the healthy servers of the data centre, in the cost and in the expected wait. The cost of the last slot is 0.1, since herds need no counterweight now.

--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -22,7 +22,7 @@
 	// utilizationCost is the cost of taking the last free slot of a server. Slots before it cost
 	// less, since servers slow down as they fill. leastCostUtilization is the same for LeastCost,
 	// where it also has to keep choosers that know little of each other from the same server.
-	utilizationCost      = 0.08
+	utilizationCost      = 0.1
 	leastCostUtilization = 0.15
 	// coldCost is the cost of a server that is slow after its start.
 	coldCost = 0.15
--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -21,17 +21,21 @@
 //
 // # Old reports
 //
-// Within the data centre, WaterFilling accounts for the requests that other choosers
-// send by the same reports. Of the requests that a report shows, exp(-age / service
-// time) still run; in a steady state as many others have replaced the rest. These
-// unseen arrivals, summed over the servers, fill the cheapest servers up to one level
-// of cost, and the request goes to a server with room below the level, drawn in
-// proportion to that room. With fresh reports this is the server of the lowest cost,
-// with old ones a draw in proportion to free slots. LeastCost takes the server of the
-// lowest cost at any age.
-//
-// The estimate follows a burst only with the next reports, and counts the choosers of
-// other data centres only where their requests already run.
+// Of the requests that a report shows, exp(-age / service time) still run. WaterFilling
+// assumes that the mean number of the healthy servers of the data centre has replaced
+// the rest; LeastCost lets the load fade.
+//
+// Within the data centre, WaterFilling also accounts for the requests that other
+// choosers send by the same reports until the next ones. These unseen arrivals, summed
+// over the servers, fill the cheapest servers up to one level of cost, and the request
+// goes to a server with room below the level, drawn in proportion to that room. Servers
+// whose cost apart from load is clearly higher than that of the cheapest one take no
+// part, since a refused hop costs less than a failure. With fresh reports the server of
+// the lowest cost is chosen, with old ones the draw is in proportion to free slots.
+// LeastCost takes the server of the lowest cost at any age.
+//
+// The estimate follows a burst only with the next reports. Refusals report full servers,
+// so that the mean is too high where most reports are older than a second.
 //
 // # Trials and exclusion
 //
--- a/internal/pick/level.go
+++ b/internal/pick/level.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/tarragonford/tarragonford/internal/gate"
 )
 
 const (
@@ -10,9 +12,6 @@
 	levelSteps = 10
 	// maxLevelDoublings bounds the search for an upper bound of a level.
 	maxLevelDoublings = 12
-	// reportLife is the mean time for which a report is used, relative to its mean age when it is used:
-	// all choosers use it until the next one.
-	reportLife = 2
 	// maxBaseDifference is the cost above that of the cheapest server up to which others take part in
 	// the draw, apart from load. A refusal by a server that turns out to be full costs the time of a
 	// hop, so that avoiding it is not worth a higher risk of a failure.
@@ -70,8 +69,8 @@
 	dataCentre string
 	transfer   float64
 	curves     []curve
-	// reported is the number of servers of the data centre that have reported, accepting or not,
-	// running the number of requests that they ran, and replaced the sum over them of the share of
+	// reported is the number of healthy servers of the data centre that have reported, with room or
+	// not, running the number of requests that they ran, and replaced the sum over them of the share of
 	// these requests that others replace during the life of the report.
 	reported int
 	running  int
@@ -80,20 +79,31 @@
 	ownSent int
 }
 
-// observe counts a server for the estimate of the unseen arrivals.
+// observe counts a server for the estimate of the unseen arrivals. Unhealthy servers get few requests
+// and would lower the mean.
 func (g *group) observe(k *knowledge) {
-	if k.state.reported.IsZero() || !k.state.load.Open {
+	if k.state.reported.IsZero() || !k.state.load.Open || !k.state.load.Healthy() {
 		return
 	}
 	g.reported++
 	g.running += k.state.load.Running
-	g.replaced += 1 - math.Pow(k.stillRunning, reportLife)
+	// All choosers use a report until the next one, on average for twice the age that it has now.
+	g.replaced += 1 - k.stillRunning*k.stillRunning
 	g.ownSent += len(k.state.sent)
 }
 
 // meanRunning is the mean number of requests that the servers run.
 func (g *group) meanRunning() float64 { return float64(g.running) / float64(max(g.reported, 1)) }
 
+// runningNow is the number of requests that a server is expected to run if it gets as many as the
+// mean since its report. Requests that waited have taken the slots that became free.
+func (g *group) runningNow(k *knowledge) float64 {
+	if k.state.load.Ahead(gate.PriorityLevels) > 0 {
+		return float64(k.state.load.Running)
+	}
+	return float64(k.state.load.Running)*k.stillRunning + g.meanRunning()*(1-k.stillRunning)
+}
+
 // unseenArrivals is the expected number of requests that other choosers send to the servers while
 // these reports are in use, less those that end meanwhile. In a steady state as many begin as end.
 // No more than the free slots are expected to find a place.
--- a/internal/pick/level_test.go
+++ b/internal/pick/level_test.go
@@ -95,19 +95,25 @@
 }
 
 // Guards against a server that stays left out after it was full, until its next report, while the
-// others of its data centre are half empty.
+// others of its data centre are half empty; and against hops without use to a server that was full
+// while the others still are, or that had requests waiting.
 func TestAnOldReportOfAFullServerFades(t *testing.T) {
 	g := NewWithT(t)
-	candidates := []Candidate{{ID: "full", DataCentre: "a"}, {ID: "other", DataCentre: "a"}}
-	chosenAt := func(age time.Duration) bool {
+	candidates := []Candidate{{ID: "full", DataCentre: "a"}, {ID: "other", DataCentre: "a"}, {ID: "failing", DataCentre: "a"}}
+	chosenAt := func(age time.Duration, others, waiting int) bool {
 		p := New("a", "r")
-		p.Report(start.Add(-age), "full", healthy(6))
-		p.Report(start, "other", healthy(2))
+		full, failing := healthy(6), healthy(0)
+		full.Waiting[1], failing.FailureProbability = waiting, 0.9
+		p.Report(start.Add(-age), "full", full)
+		p.Report(start, "other", healthy(others))
+		p.Report(start, "failing", failing)
 		_, ok := p.Choose(start, zero, candidates, Query{Objective: 2 * time.Second, Exclude: func(id string) bool { return id == "other" }})
 		return ok
 	}
-	g.Expect(chosenAt(50 * time.Millisecond)).To(BeFalse())
-	g.Expect(chosenAt(time.Second)).To(BeTrue())
+	g.Expect(chosenAt(50*time.Millisecond, 2, 0)).To(BeFalse())
+	g.Expect(chosenAt(time.Second, 2, 0)).To(BeTrue())
+	g.Expect(chosenAt(time.Second, 6, 0)).To(BeFalse(), "the service is overloaded")
+	g.Expect(chosenAt(time.Second, 2, 1)).To(BeFalse(), "a request waited")
 }
 
 // Guards against unseen arrivals that move requests to another data centre without a gain: both have
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -148,7 +148,7 @@
 		if p.objection(now, &p.known[i], *c, load, q) != NoObjection {
 			continue
 		}
-		added := s.curve(p.policy, now, q, p.runningNow(&p.known[i], now))
+		added := s.curve(p.policy, now, q, p.runningNow(&p.known[i], g, now))
 		added.index, added.expectedWait = i, load.ExpectedWait(q.Priority, len(s.sent), s.age(now))
 		added.base += tieBreakRange * random()
 		if c.DataCentre == p.dataCentre && s.needsTrial(now, q) {
@@ -167,23 +167,21 @@
 	return o
 }
 
-// upToDate returns the load that a server is expected to have now, if it gets as many requests as the
-// mean of its data centre.
+// upToDate returns the load that a server is expected to have now, for the expected wait.
 func (p *Picker) upToDate(k *knowledge, g *group) gate.Load {
 	load := k.state.load
 	if p.policy == WaterFilling {
-		load.Running = int(math.Ceil(float64(load.Running)*k.stillRunning + g.meanRunning()*(1-k.stillRunning)))
+		load.Running = int(math.Ceil(g.runningNow(k)))
 	}
 	return load
 }
 
-// runningNow returns how many of the requests that ran at the time of the report count now.
-func (p *Picker) runningNow(k *knowledge, now time.Time) float64 {
-	share := k.stillRunning
+// runningNow returns how many requests a server is expected to run.
+func (p *Picker) runningNow(k *knowledge, g *group, now time.Time) float64 {
 	if p.policy == LeastCost {
-		share = math.Exp(-k.state.age(now).Seconds() / loadDecayTime.Seconds())
+		return float64(k.state.load.Running) * math.Exp(-k.state.age(now).Seconds()/loadDecayTime.Seconds())
 	}
-	return float64(k.state.load.Running) * share
+	return g.runningNow(k)
 }
 
 // groupOf returns the index of the group of a candidate's data centre. A new group uses the memory
