sidecar: tarragon-sidecar explain tells where a request would go now

Cause: operators could see from the logs where requests went, but not where one would go now, and why. Change: GET /explain at the metrics address describes the route, and for each of its services the servers with what is known of them, their costs and their shares; the command prints it.

--- a/cmd/tarragon-sidecar/main.go
+++ b/cmd/tarragon-sidecar/main.go
@@ -42,9 +42,18 @@
 
 func main() {
 	var o options
-	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
+	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
+	parser.SubcommandsOptional = true
+	if _, err := parser.AddCommand("explain", "Tell where a request would go now, without sending it",
+		"Ask the running node where a request would go now, and why. Nothing is sent.", &explainCommand{options: &o}); err != nil {
+		panic(err)
+	}
+	if _, err := parser.Parse(); err != nil {
 		os.Exit(cli.Report(program, err))
 	}
+	if parser.Active != nil {
+		return
+	}
 	if o.Version {
 		fmt.Println(program, buildinfo.Version())
 		return
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -89,18 +89,7 @@
 		return Member{}, pick.Choice{}, false
 	}
 	now := time.Now()
-	query := pick.Query{
-		Idempotent:   x.request.idempotent,
-		Priority:     x.request.priority,
-		LastAttempt:  x.attempts > 0 && x.attempts+1 >= x.route.MaxAttempts && x.route.MaxAttempts > 0,
-		Objective:    x.objective.Sub(x.started),
-		MaxWait:      x.queueLimit(now),
-		LocalMaxWait: x.maxQueueTime(now),
-		Retry:        x.deliveries > 0,
-		Remaining:    x.deadline.Sub(now),
-		Bytes:        e.sizes.meanOf(x.route.ID) + len(x.request.body),
-		Exclude:      func(id string) bool { _, tried := x.tried[id]; return tried },
-	}
+	query := x.query(now)
 	choice, ok := e.picker.Choose(now, rand.Float64, pool.Candidates, query)
 	if !ok && x.startQueueing() {
 		query.MaxWait = x.queueLimit(now)
@@ -115,6 +104,22 @@
 	return pool.Members[choice.Index], choice, true
 }
 
+// query describes the request for the choice of a server.
+func (x *exchange) query(now time.Time) pick.Query {
+	return pick.Query{
+		Idempotent:   x.request.idempotent,
+		Priority:     x.request.priority,
+		LastAttempt:  x.attempts > 0 && x.attempts+1 >= x.route.MaxAttempts && x.route.MaxAttempts > 0,
+		Objective:    x.objective.Sub(x.started),
+		MaxWait:      x.queueLimit(now),
+		LocalMaxWait: x.maxQueueTime(now),
+		Retry:        x.deliveries > 0,
+		Remaining:    x.deadline.Sub(now),
+		Bytes:        x.entry.sizes.meanOf(x.route.ID) + len(x.request.body),
+		Exclude:      func(id string) bool { _, tried := x.tried[id]; return tried },
+	}
+}
+
 // startQueueing allows nodes that had no free slot to be asked once more, now for a place in their
 // queue. It returns false if queueing was already allowed.
 func (x *exchange) startQueueing() bool {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -359,6 +359,7 @@
 	if n.settings.Metrics != "" {
 		router := mux.NewRouter()
 		router.Handle(pathMetrics, n.deps.Telemetry.MetricsHandler()).Methods(http.MethodGet)
+		router.HandleFunc(PathExplain, n.entry.explainHandler).Methods(http.MethodGet)
 		handlers = append(handlers, endpoint{n.settings.Metrics, router})
 	}
 	var servers []*http.Server
