--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -178,6 +178,9 @@
 	r.retry = x.deliveries > 0
 	x.request.firstHop = false
 	r.departed = e.departures.of(member.ID)
+	if member.DataCentre != e.settings.DataCentre {
+		e.telemetry.Metrics.FarHops.Inc()
+	}
 	if member.ID == e.settings.Node {
 		return e.host.serve(ctx, &r), nil
 	}
@@ -267,6 +270,9 @@
 	case reply.refused != nil:
 		x.recordResult(reply.refused.reason.String())
 		e.picker.MarkRefused(now, member.ID, reply.refused.reason)
+		if reply.refused.reason == gate.Busy {
+			e.telemetry.Metrics.BusyHops.Inc()
+		}
 		mayQueue := reply.refused.reason == gate.Busy || reply.refused.reason == gate.RateLimited
 		x.tried[member.ID] = !mayQueue || x.queueing
 		return true, nil
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -38,6 +38,9 @@
 	Retries Counter
 	// RetriesRefused counts retries denied by the retry budget.
 	RetriesRefused Counter
+	// BusyHops counts hops of this entry node that a full server refused, and FarHops those to
+	// another data centre.
+	BusyHops, FarHops Counter
 	// Hedges counts hedged attempts, HedgeWins those whose response was used.
 	Hedges, HedgeWins Counter
 	// Dispatches counts requests that the host node sent to a backend server.
--- a/internal/telemetry/series.go
+++ b/internal/telemetry/series.go
@@ -28,6 +28,8 @@
 		counterVecSeries("tarragon_host_requests", "Requests forwarded by other nodes, by result code and outcome.", m.HostRequests),
 		counterSeries("tarragon_attempts", "Attempts made by the entry node, including the first.", "", &m.Attempts),
 		counterSeries("tarragon_retries", "Attempts after the first, excluding hedges.", "", &m.Retries),
+		counterSeries("tarragon_busy_hops", "Hops of this entry node that a full server refused.", "", &m.BusyHops),
+		counterSeries("tarragon_far_hops", "Hops of this entry node to another data centre.", "", &m.FarHops),
 		counterSeries("tarragon_retries_refused", "Retries denied by the retry budget.", "", &m.RetriesRefused),
 		counterSeries("tarragon_hedges", "Hedged attempts.", "", &m.Hedges),
 		counterSeries("tarragon_hedge_wins", "Hedged attempts whose response was used.", "", &m.HedgeWins),
