pick: copy no loads while servers are compared

Change: loads and queries pass by pointer, and the wait of the chosen server only is computed again.

--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -57,7 +57,7 @@
 // maxWait returns how long the request may be expected to wait at a candidate: MaxWait, or longer
 // in the entry's own data centre, up to LocalMaxWait, while the wait costs no more than a transfer
 // to another data centre, even if a slot is free there.
-func (p *Picker) maxWait(c *Candidate, q Query) time.Duration {
+func (p *Picker) maxWait(c *Candidate, q *Query) time.Duration {
 	if c.DataCentre != p.dataCentre {
 		return q.MaxWait
 	}
@@ -66,9 +66,9 @@
 }
 
 // bytesCost is the cost of sending the bytes of a request and its answer between data centres.
-func bytesCost(q Query) float64 { return costPerKilobyte * float64(q.Bytes) / 1024 }
+func bytesCost(q *Query) float64 { return costPerKilobyte * float64(q.Bytes) / 1024 }
 
-func (p *Picker) transferCost(c *Candidate, q Query) float64 {
+func (p *Picker) transferCost(c *Candidate, q *Query) float64 {
 	bytes := bytesCost(q)
 	switch {
 	case c.DataCentre == p.dataCentre:
@@ -79,16 +79,19 @@
 	return otherRegionCost + bytes
 }
 
+// unknownLoad is assumed before the first report.
+var unknownLoad = gate.Load{Slots: defaultSlots, Service: defaultServiceTime}
+
 // curve returns the cost of the server, without its transfer, over its load. running is the expected
 // number of requests that it runs.
-func (s *nodeState) curve(policy Policy, now time.Time, q Query, running float64) curve {
+func (s *nodeState) curve(policy Policy, now time.Time, q *Query, running float64) curve {
 	loss := 1.0
 	if q.Idempotent && !q.LastAttempt {
 		loss = IdempotentFailureCost
 	}
-	load, probability := s.load, usualFailureProbability
+	load, probability := &s.load, usualFailureProbability
 	if s.reported.IsZero() {
-		load = gate.Load{Slots: defaultSlots, Service: defaultServiceTime}
+		load = &unknownLoad
 	} else {
 		probability = s.failureProbability(now)
 	}
--- a/internal/pick/explain.go
+++ b/internal/pick/explain.go
@@ -87,7 +87,7 @@
 	a := Assessment{
 		Candidate: c, Load: k.state.load, Sent: len(k.state.sent), FailureProbability: usualFailureProbability,
 		ExpectedWait: load.ExpectedWait(q.Priority, len(k.state.sent), k.state.age(now)),
-		Objection:    p.objection(now, k, c, load, q), Transfer: p.transferCost(&c, q),
+		Objection:    p.objection(now, k, &c, &load, &q), Transfer: p.transferCost(&c, &q),
 	}
 	if a.Known = !k.state.reported.IsZero(); a.Known {
 		a.Age, a.FailureProbability = k.state.age(now), k.state.failureProbability(now)
--- a/internal/pick/level.go
+++ b/internal/pick/level.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/tarragonford/tarragonford/internal/gate"
 )
@@ -31,8 +30,6 @@
 	held float64
 	// slots is the number of requests that run at once.
 	slots float64
-	// expectedWait is the time until a slot is free.
-	expectedWait time.Duration
 	// waitPerRequest is the cost of the wait caused by each request beyond the slots; rateWait that
 	// of the wait for the rate limit.
 	waitPerRequest, rateWait float64
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -108,9 +108,11 @@
 	if p.policy == WaterFilling {
 		chosen = g.choose(chosen, lowest, random)
 	}
-	s := p.known[chosen.index].state
+	k := &p.known[chosen.index]
+	s := k.state
+	load := p.upToDate(k, g)
 	choice := s.choice(now)
-	choice.Index, choice.ExpectedWait = chosen.index, chosen.expectedWait
+	choice.Index, choice.ExpectedWait = chosen.index, load.ExpectedWait(q.Priority, len(s.sent), s.age(now))
 	s.sent = append(newerThan(s.sent, now.Add(-maxReportAge)), now)
 	return choice, true
 }
@@ -132,7 +134,7 @@
 func (p *Picker) observe(now time.Time, candidates []Candidate, q Query) {
 	p.groups, p.known = p.groups[:0], p.known[:0]
 	for i := range candidates {
-		k := knowledge{state: p.state(candidates[i].ID), group: p.groupOf(&candidates[i], q)}
+		k := knowledge{state: p.state(candidates[i].ID), group: p.groupOf(&candidates[i], &q)}
 		k.stillRunning = k.state.stillRunning(now)
 		p.groups[k.group].observe(&k)
 		p.known = append(p.known, k)
@@ -145,13 +147,13 @@
 		c, s := &candidates[i], p.known[i].state
 		g := &p.groups[p.known[i].group]
 		load := p.upToDate(&p.known[i], g)
-		if p.objection(now, &p.known[i], *c, load, q) != NoObjection {
+		if p.objection(now, &p.known[i], c, &load, &q) != NoObjection {
 			continue
 		}
-		added := s.curve(p.policy, now, q, p.runningNow(&p.known[i], g, now))
-		added.index, added.expectedWait = i, load.ExpectedWait(q.Priority, len(s.sent), s.age(now))
+		added := s.curve(p.policy, now, &q, p.runningNow(&p.known[i], g, now))
+		added.index = i
 		added.base += tieBreakRange * random()
-		if c.DataCentre == p.dataCentre && s.needsTrial(now, q) {
+		if c.DataCentre == p.dataCentre && s.needsTrial(now, &q) {
 			added.base -= trialBonus
 		}
 		g.curves = append(g.curves, added)
@@ -159,8 +161,8 @@
 }
 
 // objection returns why a candidate is not considered.
-func (p *Picker) objection(now time.Time, k *knowledge, c Candidate, load gate.Load, q Query) Objection {
-	o := k.state.objection(now, q, load, p.maxWait(&c, q), c.DataCentre != p.dataCentre)
+func (p *Picker) objection(now time.Time, k *knowledge, c *Candidate, load *gate.Load, q *Query) Objection {
+	o := k.state.objection(now, q, load, p.maxWait(c, q), c.DataCentre != p.dataCentre)
 	if o == NoObjection && q.Exclude != nil && q.Exclude(c.ID) {
 		return Tried
 	}
@@ -186,7 +188,7 @@
 
 // groupOf returns the index of the group of a candidate's data centre. A new group uses the memory
 // of earlier requests.
-func (p *Picker) groupOf(c *Candidate, q Query) int {
+func (p *Picker) groupOf(c *Candidate, q *Query) int {
 	for i := range p.groups {
 		if p.groups[i].dataCentre == c.DataCentre {
 			return i
--- a/internal/pick/reports.go
+++ b/internal/pick/reports.go
@@ -49,7 +49,7 @@
 
 // objection returns why the node is known to refuse the request. load is the report brought up to
 // date.
-func (s *nodeState) objection(now time.Time, q Query, load gate.Load, maxWait time.Duration, remote bool) Objection {
+func (s *nodeState) objection(now time.Time, q *Query, load *gate.Load, maxWait time.Duration, remote bool) Objection {
 	if now.Before(s.excludedUntil) {
 		return Excluded
 	}
@@ -85,7 +85,7 @@
 
 // needsTrial reports whether the request is suited to show the health of a server that has had no
 // result for a while.
-func (s *nodeState) needsTrial(now time.Time, q Query) bool {
+func (s *nodeState) needsTrial(now time.Time, q *Query) bool {
 	return q.Idempotent && !q.LastAttempt && len(s.sent) == 0 && !s.reported.IsZero() &&
 		s.load.SinceLastResult+now.Sub(s.reported) >= noResultTime
 }
