--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -4,8 +4,8 @@
 // # Choice
 //
 // Each node beside a server reports its load and health with its answers and in
-// beacons. Picker keeps the newest report of each node and chooses the candidate
-// with the lowest cost, in units of one lost request:
+// beacons. Picker keeps the newest report of each node. The cost of a candidate, in
+// units of one lost request, is
 //
 //	loss x failure probability + wait / objective + utilization + transfer
 //
@@ -17,6 +17,28 @@
 // and the answer. Where a free slot is needed, a request may still queue in its own
 // data centre for as long as the transfer to another one is worth.
 //
+// The data centre of the candidate with the lowest cost gets the request.
+//
+// # Old reports
+//
+// Of the requests that a report shows, exp(-age / service time) still run. WaterFilling
+// assumes that the mean number of the healthy servers of the data centre has replaced
+// the rest; LeastCost lets the load fade.
+//
+// Within the data centre, WaterFilling also accounts for the requests that other
+// choosers send by the same reports until the next ones. These unseen arrivals, summed
+// over the servers, fill the cheapest servers up to one level of cost, and the request
+// goes to a server with room below the level, drawn in proportion to that room. Servers
+// whose cost apart from load is clearly higher than that of the cheapest one take no
+// part, since a refused hop costs less than a failure. With fresh reports the server of
+// the lowest cost is chosen, with old ones the draw is in proportion to free slots.
+// LeastCost takes the server of the lowest cost at any age.
+//
+// The estimate follows a burst only with the next reports. Refusals report full servers,
+// so that the mean is too high where most reports are older than a second.
+//
+// # Trials and exclusion
+//
 // A server that has failed is not chosen again while others have room, so nothing
 // would show that it has recovered. A server without a result for a while is
 // therefore cheaper for requests from its data centre that can be retried elsewhere.
