limit: one account of what clients make a process hold, and a door that keeps places for ordinary ones

Cause: bodies were counted as bytes read, not as buffers and garbage; heads, unread answers and connections were not bounded; the runtime had no memory limit. Change: Memory and Reservation replace BodyMemory; bodies are segments that are reserved and never copied; stalled clients give way when memory is short. Door limits connections by max_fds and memory, charges heads by their fields, and bounds unread answers and bodies that no handler reads. The runtime gets a memory limit. Hops take bodies as long as the memory allows, instead of 16 MiB.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, platform, test, lint, fuzz, demo, soak, sidecar-soak, bench, convergence. README.md explains each.
+# Targets: build, platform, test, lint, fuzz, demo, soak, sidecar-soak, crowd, bench, convergence. README.md explains each.
 BINARIES := tarragond tarragonctl tarragon-load tarragon-standin
 SEED ?= 1
 DURATION ?= 60s
@@ -9,7 +9,7 @@
 LENGTH ?= 12s
 SOAK_NODES ?= 3
 
-.PHONY: all platform build test lint demo soak soak-short sidecar-soak bench convergence fuzz bin/harness
+.PHONY: all platform build test lint demo soak soak-short sidecar-soak crowd bench convergence fuzz bin/harness
 
 all: build
 
@@ -24,6 +24,7 @@
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
 	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	go vet ./...
+	go vet -tags crowd ./platform/crowd
 	go tool staticcheck ./...
 
 # The seeds of property tests are fixed, so that a run gives the same verdict every time.
@@ -59,6 +60,11 @@
 sidecar-soak:
 	go test ./platform/soak -count 1 -timeout 0 -v -seeds $(SEEDS) -length $(LENGTH) -nodes $(SOAK_NODES)
 
+# Crowds of clients that misbehave, each against a sidecar process of its own. Nothing else should run
+# beside it.
+crowd:
+	scripts/crowd.sh
+
 # Time from approval to in force everywhere, and the cost of control of a node.
 convergence: bin/harness
 	bin/harness convergence --nodes $(NODES)
--- a/cmd/tarragon-sidecar/main.go
+++ b/cmd/tarragon-sidecar/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -85,6 +86,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := config.RuntimeMemory(); limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(limit)
+	}
 	node := sidecar.New(platform.NodeDependencies(config, platform.NewStore(config.StoreAddr), t))
 	return node.Run(stopSignal(t.Log, config, o.Config))
 }
--- a/internal/httpconn/copies_test.go
+++ b/internal/httpconn/copies_test.go
@@ -102,8 +102,8 @@
 				}
 				continue
 			}
-			if string(response.Body) != id {
-				rt.Fatalf("request %s got the response to %s", id, response.Body)
+			if string(response.Body.Bytes()) != id {
+				rt.Fatalf("request %s got the response to %s", id, response.Body.Bytes())
 			}
 			completed++
 			time.Sleep(time.Duration(rapid.IntRange(0, 2).Draw(rt, "pause")) * time.Millisecond)
--- a/internal/httpconn/cut_test.go
+++ b/internal/httpconn/cut_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/tarragonford/tarragonford/internal/limit"
 )
 
 // cutPlan is how a server answers one request and ends its connection.
@@ -121,15 +123,15 @@
 		ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
 		defer cancel()
 		response, err := pool.Do(ctx, listener.Addr().String(), &Request{
-			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ID: "1", Body: make([]byte, requestBytes),
+			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ID: "1", Body: limit.NewBody(make([]byte, requestBytes)),
 		})
 		switch {
 		case !plan.orderly && err == nil:
-			rt.Fatalf("a response cut after %d bytes was returned with %d of %d bytes of its body", plan.sent, len(response.Body), plan.bodyBytes)
+			rt.Fatalf("a response cut after %d bytes was returned with %d of %d bytes of its body", plan.sent, response.Body.Len(), plan.bodyBytes)
 		case plan.orderly && err != nil:
 			rt.Fatalf("a complete response was lost: %v", err)
-		case plan.orderly && len(response.Body) != plan.bodyBytes:
-			rt.Fatalf("got %d of %d bytes", len(response.Body), plan.bodyBytes)
+		case plan.orderly && response.Body.Len() != plan.bodyBytes:
+			rt.Fatalf("got %d of %d bytes", response.Body.Len(), plan.bodyBytes)
 		}
 	})
 }
@@ -187,10 +189,10 @@
 		}
 		pool := NewPool(Options{MaxResponseBody: 1 << 20, IDHeader: "Id"})
 		response, _, err := pool.exchange(t.Context(), newConn(raw, ""), &Request{
-			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ID: "1", Body: make([]byte, maxSyncBody+1),
+			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ID: "1", Body: limit.NewBody(make([]byte, maxSyncBody+1)),
 		})
 		if err == nil {
-			rt.Fatalf("a response cut after %d bytes was returned with %d of %d bytes of its body", plan.sent, len(response.Body), plan.bodyBytes)
+			rt.Fatalf("a response cut after %d bytes was returned with %d of %d bytes of its body", plan.sent, response.Body.Len(), plan.bodyBytes)
 		}
 	})
 }
--- a/internal/httpconn/do.go
+++ b/internal/httpconn/do.go
@@ -42,7 +42,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   limit.Body
 	// ID is the value that the response repeats in Options.IDHeader.
 	ID string
 	// MaxIdle limits how long a reused connection may have been idle. A request is lost if the peer
@@ -56,7 +56,7 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	Body   limit.Body
 	// Reused is set if an existing connection carried the request.
 	Reused bool
 	// endedByPeer is set if the end of the connection ended the body.
@@ -151,13 +151,15 @@
 	if err := r.Header.Write(&head); err != nil {
 		return nil, err
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(r.Body))
+	if r.Body.Len() > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", r.Body.Len())
 	}
 	head.WriteString("\r\n")
 	written := make(chan error, 1)
-	if len(r.Body) <= maxSyncBody {
-		head.Write(r.Body)
+	if r.Body.Len() <= maxSyncBody {
+		if _, err := r.Body.WriteTo(&head); err != nil {
+			return nil, err
+		}
 		_, err := c.Write(head.Bytes())
 		written <- nil
 		return written, err
@@ -166,7 +168,7 @@
 		return nil, err
 	}
 	go func() {
-		_, err := c.Write(r.Body)
+		_, err := r.Body.WriteTo(c)
 		written <- err
 	}()
 	return written, nil
@@ -211,7 +213,7 @@
 
 // readBody reads the body of a response. After an error it does not close the body, because closing
 // would read the rest; the caller closes the connection.
-func (p *Pool) readBody(c *conn, response *http.Response, reservation *limit.Reservation) ([]byte, error) {
+func (p *Pool) readBody(c *conn, response *http.Response, reservation *limit.Reservation) (limit.Body, error) {
 	length := response.ContentLength
 	if isBodyless(response) {
 		length = 0
--- a/internal/httpconn/endless_test.go
+++ b/internal/httpconn/endless_test.go
@@ -142,7 +142,7 @@
 func TestResponseBodiesShareTheMemoryLimit(t *testing.T) {
 	g := NewWithT(t)
 	const maxMemory = 1 << 20
-	memory := limit.NewBodyMemory(maxMemory)
+	memory := limit.NewMemory(maxMemory)
 	reservation := memory.NewReservation()
 	e := newEndlessServer(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", strings.Repeat("x", 1000), 0)
 	err := doRequest(t.Context(), e, reservation)
--- a/internal/limit/hold_test.go
+++ b/internal/limit/memory_test.go
@@ -14,7 +14,7 @@
 func TestReservationsStayWithinTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := int64(rapid.IntRange(0, 64<<10).Draw(t, "limit"))
-		memory := NewBodyMemory(limit)
+		memory := NewMemory(limit)
 		reservations := []*Reservation{memory.NewReservation(), memory.NewReservation(), memory.NewReservation()}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			r := reservations[rapid.IntRange(0, len(reservations)-1).Draw(t, "request")]
@@ -29,8 +29,8 @@
 			}
 			bodyLimit := int64(rapid.IntRange(0, 40<<10).Draw(t, "limit of a body"))
 			got, err := r.Read(iotest.HalfReader(bytes.NewReader(content)), length, bodyLimit)
-			if err == nil && !bytes.Equal(got, content) {
-				t.Fatalf("read %d of %d bytes", len(got), len(content))
+			if err == nil && !bytes.Equal(got.Bytes(), content) {
+				t.Fatalf("read %d of %d bytes", got.Len(), len(content))
 			}
 			if err == nil && int64(len(content)) > bodyLimit {
 				t.Fatalf("read %d bytes, the limit of a body is %d", len(content), bodyLimit)
@@ -50,6 +50,6 @@
 
 func TestABodyShorterThanAnnouncedIsAnError(t *testing.T) {
 	g := NewWithT(t)
-	_, err := NewBodyMemory(100).NewReservation().Read(bytes.NewReader([]byte("abc")), 4, 10)
+	_, err := NewMemory(100).NewReservation().Read(bytes.NewReader([]byte("abc")), 4, 10)
 	g.Expect(err).To(HaveOccurred())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,7 +64,7 @@
 	// nodes forward.
 	callerRequests, forwardedRequests atomic.Int64
 	// callerBodies bounds the memory held by the bodies of callers' requests.
-	callerBodies *limit.BodyMemory
+	callerBodies *limit.Memory
 }
 
 // New assembles a node and opens its listeners.
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	n := &Node{config: config, telemetry: t, listeners: l, callerBodies: limit.NewBodyMemory(config.Limits.BodyMemory)}
+	n := &Node{config: config, telemetry: t, listeners: l, callerBodies: limit.NewMemory(config.Limits.BodyMemory)}
 	n.nodeCtx, n.cancelNode = context.WithCancel(context.Background())
 	if err := n.build(); err != nil {
 		n.cancelNode()
@@ -222,7 +222,7 @@
 		// A forwarding node adds its own headers to those of the caller. Forwarded
 		// bodies have a separate memory limit, so that callers cannot starve the
 		// requests of other nodes.
-		newServer(n.countInFlight(&n.forwardedRequests, limit.NewBodyMemory(limits.BodyMemory).Handler(traffic)), limits, 2*limits.HeaderBytes, requestTime),
+		newServer(n.countInFlight(&n.forwardedRequests, limit.NewMemory(limits.BodyMemory).Handler(traffic)), limits, 2*limits.HeaderBytes, requestTime),
 		newServer(attachments.Handler(), limits, limits.HeaderBytes, limits.WriteTime),
 		newServer(n.adminHandler(), limits, limits.HeaderBytes, limits.WriteTime),
 	}
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -98,7 +98,7 @@
 		LocalMaxWait: x.maxQueueTime(now),
 		Retry:        x.deliveries > 0,
 		Remaining:    x.deadline.Sub(now),
-		Bytes:        e.sizes.meanOf(x.route.ID) + len(x.request.body),
+		Bytes:        e.sizes.meanOf(x.route.ID) + x.request.body.Len(),
 		Exclude:      func(id string) bool { _, tried := x.tried[id]; return tried },
 	}
 	choice, ok := e.picker.Choose(now, rand.Float64, pool.Candidates, query)
@@ -188,7 +188,7 @@
 		header[headerDeparted] = []string{encodeIncarnation(*r.departed)}
 	}
 	response, err := e.peers.do(ctx, member.Addr, &httpconn.Request{
-		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, ID: r.id, Reservation: r.responseMemory,
+		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, ID: r.id, Reservation: r.memory,
 	})
 	if err != nil {
 		return nil, err
@@ -284,7 +284,7 @@
 	}
 	x.attempts++
 	if response.Status < http.StatusMultipleChoices {
-		x.entry.sizes.observe(x.route.ID, len(response.Body))
+		x.entry.sizes.observe(x.route.ID, response.Body.Len())
 	}
 	if response.Status >= http.StatusInternalServerError && x.request.idempotent {
 		return x.mayRetry(now), response
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -45,7 +44,7 @@
 	headers    Headers
 	log        *zap.Logger
 	telemetry  *telemetry.Telemetry
-	bodies     *limit.BodyMemory
+	memory     *limit.Memory
 	// onVersion is called with the configuration version of another node.
 	onVersion func(version uint64, inbound string)
 	// keysConfirmed reports whether the account keys of the configuration in force are recent
@@ -84,6 +83,7 @@
 // ServeHTTP implements http.Handler.
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x, err := e.accept(w, r)
+	defer x.request.memory.Release()
 	if err != nil {
 		coded := codes.FromError(err)
 		after := time.Duration(0)
@@ -98,8 +98,6 @@
 	defer span.End()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	x.request.responseMemory = e.bodies.NewReservation()
-	defer x.request.responseMemory.Release()
 	x.run(ctx, w)
 }
 
@@ -110,7 +108,7 @@
 	x := &exchange{entry: e, view: view, started: now, tried: map[string]bool{}}
 	x.request = hopRequest{
 		id: e.headers.RequestID(r.Header), method: r.Method, target: r.RequestURI,
-		host: r.Host, header: r.Header, arrived: now,
+		host: r.Host, header: r.Header, arrived: now, memory: e.memory.NewReservation(),
 	}
 	if view.Config == nil || !view.MembersKnown() {
 		return x, codes.NotReady.New("the node has no configuration yet")
@@ -193,19 +191,17 @@
 	return x.view.StopAt.IsZero() || serviceTimeFactor*service < time.Until(x.view.StopAt)
 }
 
-func (x *exchange) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	limit := x.view.Config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
+func (x *exchange) readBody(w http.ResponseWriter, r *http.Request) (limit.Body, error) {
+	maxBody := x.view.Config.Limits.BodyBytes
+	if maxBody <= 0 {
+		maxBody = defaultMaxBody
 	}
-	if r.ContentLength != 0 {
-		// net/http resets the deadline at the end of the body. Response recorders in tests do not
-		// support deadlines.
-		_ = http.NewResponseController(w).SetReadDeadline(x.deadline)
+	body, err := x.request.memory.Receive(w, r, maxBody, x.deadline)
+	if errors.Is(err, limit.ErrTooLong) {
+		return limit.Body{}, codes.BodyTooLarge.New("the body exceeds %d bytes", maxBody)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
-		return nil, forward.BodyError(err)
+		return limit.Body{}, forward.BodyError(err)
 	}
 	return body, nil
 }
@@ -230,7 +226,7 @@
 		header["Content-Type"] = nil
 	}
 	if bodyAllowed(response.Status) && x.request.method != http.MethodHead {
-		header["Content-Length"] = []string{strconv.Itoa(len(response.Body))}
+		header["Content-Length"] = []string{strconv.Itoa(response.Body.Len())}
 	}
 	if e.control.View().Leaving {
 		header.Set("Connection", "close")
@@ -239,7 +235,7 @@
 		e.host.gate.CallFailed(time.Now())
 	}
 	w.WriteHeader(response.Status)
-	_, err := w.Write(response.Body)
+	err := x.request.memory.Send(w, response.Body)
 	e.finish(x, response.Status, 0, err)
 	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		panic(http.ErrAbortHandler)
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -42,9 +42,9 @@
 	target string
 	host   string
 	header http.Header
-	body   []byte
-	// responseMemory accounts for the memory of the response.
-	responseMemory *limit.Reservation
+	body   limit.Body
+	// memory accounts for the body and the response.
+	memory *limit.Reservation
 	// departed is the last server incarnation beside the host that announced its departure to the
 	// entry; nil if none has.
 	departed *registration.Incarnation
@@ -214,7 +214,7 @@
 	}
 	return &httpconn.Request{
 		Method: r.method, Target: r.target, Host: r.host,
-		Header: header, Body: r.body, ID: r.id, MaxIdle: maxIdle, Reservation: r.responseMemory,
+		Header: header, Body: r.body, ID: r.id, MaxIdle: maxIdle, Reservation: r.memory,
 	}
 }
 
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -1,11 +1,12 @@
 package sidecar
 
 import (
-	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/tarragonford/tarragonford/internal/codes"
 	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/limit"
@@ -16,10 +17,8 @@
 	host *host
 	// service is the service of the local server.
 	service string
-	// maxBody bounds a request body in bytes.
-	maxBody int64
-	// bodies bounds the total memory of all bodies.
-	bodies  *limit.BodyMemory
+	// memory bounds what the node holds for its clients.
+	memory  *limit.Memory
 	headers Headers
 	// onVersion is called with the configuration version of another node.
 	onVersion func(version uint64, inbound string)
@@ -38,32 +37,45 @@
 	}
 	h.onVersion(metadata.version, metadata.inbound)
 	arrived := time.Now()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.maxBody))
+	memory := h.memory.NewReservation()
+	defer memory.Release()
+	body, err := receiveHop(w, r, memory, arrived.Add(metadata.remaining))
 	if err != nil {
 		// The body is incomplete, so the request is not run.
-		writeReply(w, h.headers.RequestID(r.Header), h.headers, refuse(gate.Busy, 0))
+		writeReply(w, h.headers.RequestID(r.Header), h.headers, memory, refuse(gate.Busy, 0))
 		return
 	}
 	request := &hopRequest{
 		hopMetadata: metadata, id: h.headers.RequestID(r.Header), method: r.Method, target: originalTarget(r),
-		host: r.Host, header: r.Header, body: body, responseMemory: h.bodies.NewReservation(), arrived: arrived,
+		host: r.Host, header: r.Header, body: body, memory: memory, arrived: arrived,
 		departed: decodeIncarnation(r.Header.Get(headerDeparted)),
 	}
-	defer request.responseMemory.Release()
 	if metadata.service != h.service {
-		writeReply(w, request.id, h.headers, refuse(gate.Closed, 0))
+		writeReply(w, request.id, h.headers, memory, refuse(gate.Closed, 0))
 		return
 	}
-	writeReply(w, request.id, h.headers, h.host.serve(r.Context(), request))
+	writeReply(w, request.id, h.headers, memory, h.host.serve(r.Context(), request))
+}
+
+// hopCost is what a stream costs in memory besides its head and body.
+const hopCost = 16 << 10
+
+// receiveHop reads the body of a hop within the memory of the node. The configuration limits the body
+// at the entry node.
+func receiveHop(w http.ResponseWriter, r *http.Request, memory *limit.Reservation, deadline time.Time) (limit.Body, error) {
+	if !memory.Reserve(hopCost + limit.HeadCost(r.Header)) {
+		return limit.Body{}, codes.BodyMemory.New("no memory for the head")
+	}
+	return memory.Receive(w, r, math.MaxInt64-1, deadline)
 }
 
 // writeReply sends the reply of the host to the entry node.
-func writeReply(w http.ResponseWriter, id string, headers Headers, reply *hopReply) {
+func writeReply(w http.ResponseWriter, id string, headers Headers, memory *limit.Reservation, reply *hopReply) {
 	header := w.Header()
 	// Nodes need neither the date nor a detected content type.
 	header["Date"], header["Content-Type"] = nil, nil
 	status := http.StatusOK
-	var body []byte
+	var body limit.Body
 	switch {
 	case reply.refused != nil:
 		headers.SetRequestID(header, id)
@@ -82,10 +94,10 @@
 		header[headerLoad] = []string{reply.report.encode()}
 	}
 	if bodyAllowed(status) {
-		header["Content-Length"] = []string{strconv.Itoa(len(body))}
+		header["Content-Length"] = []string{strconv.Itoa(body.Len())}
 	}
 	w.WriteHeader(status)
-	if _, err := w.Write(body); err != nil && bodyAllowed(status) {
+	if err := memory.Send(w, body); err != nil && bodyAllowed(status) {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -41,10 +41,6 @@
 	// maxHeaderBytes bounds the header of a request and, between nodes, of a response. It leaves
 	// room for the headers of a server response plus the hop headers.
 	maxHeaderBytes = 2 * httpconn.MaxHeaderBytes
-	// bodyShare is the fraction of the process memory that bodies may use. defaultBodyMemory is
-	// the limit in bytes if the process memory is unknown.
-	bodyShare         = 0.25
-	defaultBodyMemory = 64 << 20
 	// sweepInterval is the time between two removals of idle connections and of data about nodes
 	// that have been removed.
 	sweepInterval = 2 * time.Second
@@ -79,8 +75,10 @@
 	syncer   *syncer
 	entry    *entry
 	beacons  *beacons
-	// bodies bounds the total memory of all bodies.
-	bodies *limit.BodyMemory
+	// memory bounds what the node holds for its clients.
+	memory *limit.Memory
+	// doors are the listeners of the node.
+	doors []*limit.Door
 	// lifetime is cancelled when the process ends.
 	lifetime context.Context
 	cancel   context.CancelFunc
@@ -114,7 +112,7 @@
 		IDHeader:        deps.RequestIDHeader,
 	})
 	n.peers = newPeerClient()
-	n.bodies = limit.NewBodyMemory(bodyMemory(s))
+	n.memory = limit.NewMemory(clientMemory(s))
 	n.syncer = &syncer{
 		self: self, settings: s, control: n.control, source: deps.Source,
 		configuration: deps.Configuration, peers: n.peers, log: n.log, random: rand.Float64,
@@ -122,7 +120,7 @@
 	}
 	n.entry = &entry{
 		settings: s, control: n.control, picker: n.picker, splitter: n.splitter, peers: n.peers,
-		headers: deps.Headers, log: n.log, telemetry: deps.Telemetry, bodies: n.bodies,
+		headers: deps.Headers, log: n.log, telemetry: deps.Telemetry, memory: n.memory,
 		keysConfirmed: func() bool { return true },
 		onVersion:     n.onPeerVersion, sizes: responseSizes{mean: map[string]float64{}}, departures: newDepartures(),
 		host: &host{
@@ -141,14 +139,6 @@
 	return n
 }
 
-// bodyMemory returns the limit for all bodies together in bytes.
-func bodyMemory(s Settings) int64 {
-	if s.Memory <= 0 {
-		return defaultBodyMemory
-	}
-	return int64(bodyShare * float64(s.Memory))
-}
-
 // onPeerVersion processes the configuration version that a node sent with a hop.
 func (n *Node) onPeerVersion(version uint64, addr string) {
 	n.syncer.onPeerVersions(n.lifetime, version, 0, addr)
@@ -342,24 +332,18 @@
 // pathMetrics serves the counters and histograms.
 const pathMetrics = "/metrics"
 
-// endpoint is a listen address and its handler.
-type endpoint struct {
-	addr    string
-	handler http.Handler
-}
-
 func (n *Node) listen() ([]*http.Server, []net.Listener, error) {
-	hop := &hopHandler{host: n.entry.host, service: n.settings.Service, maxBody: maxResponse, bodies: n.bodies, headers: n.deps.Headers, onVersion: n.onPeerVersion}
+	hop := &hopHandler{host: n.entry.host, service: n.settings.Service, memory: n.memory, headers: n.deps.Headers, onVersion: n.onPeerVersion}
 	handlers := []endpoint{
-		{n.settings.Outbound, countInFlight(&n.callers, n.bodies.Handler(n.entry))},
-		{n.settings.Inbound, countInFlight(&n.hops, n.bodies.Handler(hop))},
-		{n.settings.Ready, n.deps.ReadyHandler(func() bool { return n.control.View().Ready() })},
-		{n.settings.Registration, n.deps.RegistrationHandler(n)},
+		{n.settings.Outbound, countInFlight(&n.callers, n.entry), callerAddr},
+		{n.settings.Inbound, countInFlight(&n.hops, hop), nodeAddr},
+		{n.settings.Ready, n.deps.ReadyHandler(func() bool { return n.control.View().Ready() }), controlAddr},
+		{n.settings.Registration, n.deps.RegistrationHandler(n), controlAddr},
 	}
 	if n.settings.Metrics != "" {
 		router := mux.NewRouter()
 		router.Handle(pathMetrics, n.deps.Telemetry.MetricsHandler()).Methods(http.MethodGet)
-		handlers = append(handlers, endpoint{n.settings.Metrics, router})
+		handlers = append(handlers, endpoint{n.settings.Metrics, router, controlAddr})
 	}
 	var servers []*http.Server
 	var listeners []net.Listener
@@ -371,15 +355,9 @@
 			}
 			return nil, nil, trace.Wrap(err)
 		}
-		listeners = append(listeners, listener)
-		server := &http.Server{
-			Handler: h.handler, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout,
-			MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog:       zap.NewStdLog(n.log), Protocols: new(http.Protocols),
-		}
-		server.Protocols.SetHTTP1(h.addr != n.settings.Inbound)
-		server.Protocols.SetUnencryptedHTTP2(h.addr == n.settings.Inbound)
-		servers = append(servers, server)
+		server, door := n.newServer(h, listener)
+		servers, listeners = append(servers, server), append(listeners, door)
+		n.doors = append(n.doors, door)
 	}
 	return servers, listeners, nil
 }
@@ -402,6 +380,7 @@
 		case now := <-ticker.C:
 			n.servers.Prune(now)
 			n.deps.Telemetry.LogSuppressedLines()
+			n.reportDoor()
 			members := n.control.View().Members
 			isMember := func(id string) bool { _, ok := members[id]; return ok }
 			n.picker.Retain(isMember)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -90,10 +89,10 @@
 		Method: r.Method, Host: r.Host, Header: r.Header,
 		URL:           &url.URL{Scheme: "http", Host: addr, Opaque: r.Target},
 		Body:          http.NoBody,
-		ContentLength: int64(len(r.Body)),
+		ContentLength: int64(r.Body.Len()),
 	}
-	if len(r.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.Body))
+	if r.Body.Len() > 0 {
+		request.Body = io.NopCloser(r.Body.Reader())
 	}
 	if strings.HasPrefix(r.Target, "//") || !strings.HasPrefix(r.Target, "/") {
 		request.Header[headerTarget] = []string{r.Target}
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/tarragonford/tarragonford/internal/httpconn"
+	"github.com/tarragonford/tarragonford/internal/limit"
 )
 
 // Guards against requests that hang with the connection when the network path to a node is cut. A
@@ -77,10 +78,10 @@
 		peers := newPeerClient()
 		defer peers.http.CloseIdleConnections()
 		response, err := peers.do(t.Context(), server.Listener.Addr().String(), &httpconn.Request{
-			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, requestBytes),
+			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: limit.NewBody(make([]byte, requestBytes)),
 		})
 		if err == nil {
-			rt.Fatalf("a reply cut after %d bytes was returned with %d of %d bytes", sent, len(response.Body), length)
+			rt.Fatalf("a reply cut after %d bytes was returned with %d of %d bytes", sent, response.Body.Len(), length)
 		}
 	})
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -37,6 +37,8 @@
 	StopLimit time.Duration
 	// Memory is the memory of the process in bytes; 0 if unknown.
 	Memory int64
+	// Sockets is the number of sockets that the process may open; 0 for DefaultSockets.
+	Sockets int
 	// RetryRatio, RetryWindow and RetryAllowance bound the retries of all nodes together; see
 	// gate.RetryBudget.
 	RetryRatio     float64
@@ -74,6 +76,10 @@
 		return trace.BadParameter("the node name is missing")
 	case s.Service == "":
 		return trace.BadParameter("the service of the backend server is missing")
+	case s.Memory < 0 || s.Memory > 0 && s.Memory < minMemory:
+		return trace.BadParameter("the memory of the process is %d bytes, it must be at least %d", s.Memory, int64(minMemory))
+	case s.Sockets < 0 || s.Sockets > 0 && s.Sockets < minSockets:
+		return trace.BadParameter("the process may open %d sockets, it must be at least %d", s.Sockets, minSockets)
 	case s.StopLimit <= 0:
 		return trace.BadParameter("the stop limit must be above 0")
 	case s.RetryRatio < 0 || s.RetryAllowance < 0 || s.RetryWindow <= 0:
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -446,7 +446,7 @@
 		return trace.Wrap(err)
 	}
 	var received peerState
-	if err := json.Unmarshal(response.Body, &received); err != nil {
+	if err := json.Unmarshal(response.Body.Bytes(), &received); err != nil {
 		return trace.Wrap(err)
 	}
 	if len(received.Document) > 0 {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -48,6 +48,11 @@
 	// RateLimited counts requests that were refused because of the rates that backend servers accept,
 	// at the node beside the server or at once at the entry node.
 	RateLimited Counter
+	// ClientMemory is the memory that requests and answers take, in bytes.
+	ClientMemory Gauge
+	// DoorRefused counts connections, heads and bodies refused because of the limits of the process,
+	// DoorEvicted connections and requests that had to give way.
+	DoorRefused, DoorEvicted Counter
 	// LateAnswers counts responses dropped because nothing was waiting for them any more.
 	LateAnswers Counter
 	// WrongAnswers counts responses dropped because they carried the ID of another request.
