--- a/internal/sidecar/door.go
+++ b/internal/sidecar/door.go
@@ -22,9 +22,8 @@
 	// size. connShare is the fraction of the process memory that the connections of callers may use.
 	connMemory = 32 << 10
 	connShare  = 0.25
-	// minMemory and minSockets are the least that the process can work with.
-	minMemory  = 48 << 20
-	minSockets = 64
+	// minSockets is the least that the process can work with.
+	minSockets = 32
 	// DefaultSockets is the number of sockets if the settings name none.
 	DefaultSockets = 4096
 	// hopHeaderFactor times maxHeaderBytes is the limit of a head between nodes. HTTP/2 counts 32 bytes
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -32,8 +32,9 @@
 	idlePerServer = 32
 	// maxResponse bounds the size of a response in bytes. A node buffers responses completely.
 	maxResponse = 16 << 20
-	// headerReadTimeout bounds the time to receive a request header.
-	headerReadTimeout = 10 * time.Second
+	// headerReadTimeout bounds the time to receive a request header. It exceeds the limits that
+	// configurations set; when connections are short, slow headers give way sooner.
+	headerReadTimeout = 30 * time.Second
 	// callerIdleTimeout bounds the idle time of a caller's connection. It exceeds the limits that
 	// configurations set, so that a kept connection is not closed just as the caller sends its
 	// next request.
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -76,8 +76,8 @@
 		return trace.BadParameter("the node name is missing")
 	case s.Service == "":
 		return trace.BadParameter("the service of the backend server is missing")
-	case s.Memory < 0 || s.Memory > 0 && s.Memory < minMemory:
-		return trace.BadParameter("the memory of the process is %d bytes, it must be at least %d", s.Memory, int64(minMemory))
+	case s.Memory < 0:
+		return trace.BadParameter("the memory of the process is %d bytes, it must not be negative", s.Memory)
 	case s.Sockets < 0 || s.Sockets > 0 && s.Sockets < minSockets:
 		return trace.BadParameter("the process may open %d sockets, it must be at least %d", s.Sockets, minSockets)
 	case s.StopLimit <= 0:
