limit: an evicted request ends as evicted, and answers to unread bodies arrive

Cause: a body that became complete while its client was being evicted went on, and the deadline of the eviction could cancel its run. Connections of a door lacked CloseWrite, without which an answer such as 413 can be lost to a reset. Change: settle reports an eviction; CloseWrite is passed on. Heads between nodes have a limit for 32 kB of the shortest fields instead of 128 kB.

--- a/internal/limit/door.go
+++ b/internal/limit/door.go
@@ -317,6 +317,15 @@
 	return err
 }
 
+// CloseWrite ends the sending side of the TCP connection, if it is one. The server uses it for answers
+// to requests whose body it does not read.
+func (c *doorConn) CloseWrite() error {
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
 // SetLinger sets the option of the TCP connection, if it is one.
 func (c *doorConn) SetLinger(seconds int) error {
 	if conn, ok := c.Conn.(*net.TCPConn); ok {
--- a/internal/limit/reservation.go
+++ b/internal/limit/reservation.go
@@ -108,14 +108,19 @@
 	r.memory.pending[r] = struct{}{}
 }
 
-// settle ends await.
-func (r *Reservation) settle() {
+// settle ends await. It returns an error if the client had to give way, in which case evict may still
+// be running.
+func (r *Reservation) settle() error {
 	if r == nil {
-		return
+		return nil
 	}
 	r.memory.mu.Lock()
 	defer r.memory.mu.Unlock()
 	delete(r.memory.pending, r)
+	if r.evicted {
+		return r.errLimitReached()
+	}
+	return nil
 }
 
 // progress records that the client has sent or read bytes. It returns false if the client had to
@@ -150,10 +155,9 @@
 	// deadlines.
 	_ = control.SetReadDeadline(deadline)
 	r.await(receiveStall, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
-	defer r.settle()
 	body, err := r.read(request.Body, request.ContentLength, limit, true)
-	if err != nil && !r.progress(0) {
-		return Body{}, r.errLimitReached()
+	if evicted := r.settle(); evicted != nil {
+		return Body{}, evicted
 	}
 	return body, err
 }
@@ -229,20 +233,26 @@
 func (r *Reservation) Send(w http.ResponseWriter, body Body) error {
 	control := http.NewResponseController(w)
 	r.await(sendStall, func() { _ = control.SetWriteDeadline(time.Unix(1, 0)) })
-	defer r.settle()
+	err := r.sendPieces(w, body)
+	if evicted := r.settle(); evicted != nil {
+		return evicted
+	}
+	return err
+}
+
+func (r *Reservation) sendPieces(w http.ResponseWriter, body Body) error {
 	for _, segment := range body.segments {
 		for len(segment) > 0 {
 			piece := segment[:min(len(segment), sendPiece)]
 			segment = segment[len(piece):]
-			if !r.progress(0) {
-				return r.errLimitReached()
-			}
 			ExtendWrite(w)
 			n, err := w.Write(piece)
-			r.progress(n)
 			if err != nil {
 				return err
 			}
+			if !r.progress(n) {
+				return r.errLimitReached()
+			}
 		}
 	}
 	return nil
--- a/internal/sidecar/door.go
+++ b/internal/sidecar/door.go
@@ -26,9 +26,9 @@
 	minSockets = 32
 	// DefaultSockets is the number of sockets if the settings name none.
 	DefaultSockets = 4096
-	// hopHeaderFactor times maxHeaderBytes is the limit of a head between nodes. HTTP/2 counts 32 bytes
-	// more for each field, which has at least 4 bytes.
-	hopHeaderFactor = 9
+	// maxHopHeaderBytes bounds the head of a request between nodes. HTTP/2 counts 32 bytes more for each
+	// field, which has at least 4 bytes: 32 kB of the shortest fields pass.
+	maxHopHeaderBytes = 9 * 32 << 10
 	// hopStreams bounds the requests on one connection of another node, and hopBuffer the bytes
 	// received but not read on it: what a link of 10 Mbit/s carries in 100 ms.
 	hopStreams = 250
@@ -105,7 +105,7 @@
 	server.Protocols.SetUnencryptedHTTP2(e.kind == nodeAddr)
 	switch e.kind {
 	case nodeAddr:
-		server.MaxHeaderBytes = hopHeaderFactor * maxHeaderBytes
+		server.MaxHeaderBytes = maxHopHeaderBytes
 		server.HTTP2 = &http.HTTP2Config{
 			MaxConcurrentStreams: hopStreams, MaxReceiveBufferPerConnection: hopBuffer, MaxReceiveBufferPerStream: hopBuffer,
 			WriteByteTimeout: hopWriteTimeout,
