limit: heads between nodes are charged while they arrive

Cause: over HTTP/2 a byte can stand for a header field, and the server keeps the fields of a head that does not end; the door charged heads of HTTP/1 only. Change: the door follows the frames of a connection and charges an open head; frames are limited to 16 kB.

--- a/internal/limit/door.go
+++ b/internal/limit/door.go
@@ -19,6 +19,9 @@
 	// freeHead is the cost of a head up to which it is not charged, as the memory of a connection
 	// allows for it.
 	freeHead = 16 << 10
+	// usualBlock is the size in bytes of an encoded head between nodes up to which its connection stays
+	// open when memory is short, because it carries the requests of other clients too.
+	usualBlock = 2 << 10
 	// unreadStall is how long a client may leave a write pending before its connection can be closed
 	// for another one.
 	unreadStall = time.Second
@@ -34,8 +37,10 @@
 	Memory *Memory
 	// HeadBytes returns the limit of a head in bytes.
 	HeadBytes func() int64
-	// HTTP2 is set if the connections carry HTTP/2, which limits heads itself.
-	HTTP2 bool
+	// HTTP2 is set if the connections carry HTTP/2, where HeadFields is the largest number of fields that
+	// the server accepts in a head. It limits the bytes itself.
+	HTTP2      bool
+	HeadFields int64
 }
 
 // DoorCounts counts events since the start.
@@ -180,6 +185,7 @@
 	mu     sync.Mutex
 	head   *Reservation
 	line   headLine
+	frames frameScan
 	bytes  int64
 	cost   int64
 	closed bool
@@ -226,6 +232,10 @@
 // Read implements net.Conn.
 func (c *doorConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 && c.door.options.HTTP2 && !c.chargeFrames(p[:n]) {
+		c.door.heads.Add(1)
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errHead}
+	}
 	if n > 0 && c.inHead.Load() {
 		if answer := c.charge(p[:n]); answer != "" {
 			c.door.heads.Add(1)
@@ -263,6 +273,32 @@
 	return ""
 }
 
+// chargeFrames charges the head that is arriving over HTTP/2. It returns false if there is no memory.
+func (c *doorConn) chargeFrames(data []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open := c.frames.scan(data)
+	if open == 0 {
+		// The handler reserves memory for a head that is complete.
+		if c.cost > 0 {
+			c.cost = 0
+			c.head.Release()
+		}
+		return true
+	}
+	cost := min(open, c.door.options.HeadFields)*fieldCost + open*byteCost
+	added := cost - max(c.cost, freeHead)
+	if added <= 0 {
+		return true
+	}
+	if c.closed || !c.head.Reserve(added) {
+		c.door.options.Memory.EvictStalled(cost, nil)
+		return open <= usualBlock
+	}
+	c.cost = cost
+	return true
+}
+
 // headLine is the state of a search for the empty line that ends a head.
 type headLine struct {
 	// length is the length of the current line without line ends, started whether a line came before
--- a/internal/limit/door_test.go
+++ b/internal/limit/door_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 )
 
 // serveDoor serves requests through a door until the test ends.
@@ -112,6 +113,49 @@
 	g.Expect(statusOf(t, reader)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 }
 
+// Guards against heads over HTTP/2 that are missed or counted twice because a read ends anywhere in a
+// frame: an open head has the bytes of its frames, and none is open after its last frame.
+func TestFrameScanFindsOpenHeads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stream := make([]byte, prefaceBytes)
+		// open[i] is the size of the open head after i bytes.
+		open := make([]int64, prefaceBytes+1)
+		size, continues := int64(0), false
+		for range rapid.IntRange(1, 10).Draw(t, "frames") {
+			kind := byte(rapid.SampledFrom([]int{0, frameHeaders, 4, 8}).Draw(t, "kind"))
+			if continues {
+				kind = frameContinuation
+			}
+			flags := byte(rapid.SampledFrom([]int{0, flagEndHeaders}).Draw(t, "flags"))
+			payload := rapid.IntRange(0, 40).Draw(t, "payload")
+			stream = append(stream, 0, 0, byte(payload), kind, flags, 0, 0, 0, 1)
+			head := kind == frameHeaders || kind == frameContinuation
+			for range frameHeaderBytes {
+				open = append(open, size)
+			}
+			for range payload {
+				stream = append(stream, 'x')
+				if head {
+					size++
+				}
+				open = append(open, size)
+			}
+			if continues = head && flags&flagEndHeaders == 0; head && !continues {
+				size = 0
+				open[len(open)-1] = 0
+			}
+		}
+		var scan frameScan
+		for at := 0; at < len(stream); {
+			n := rapid.IntRange(1, len(stream)-at).Draw(t, "read")
+			got := scan.scan(stream[at : at+n])
+			if at += n; got != open[at] {
+				t.Fatalf("after %d bytes %d are open, want %d", at, got, open[at])
+			}
+		}
+	})
+}
+
 // Guards against a body that stops short and holds memory that others wait for, and against one that
 // gives way while nobody needs its memory.
 func TestStalledBodyGivesWayOnlyWhenMemoryIsShort(t *testing.T) {
--- a/internal/sidecar/door.go
+++ b/internal/sidecar/door.go
@@ -28,11 +28,14 @@
 	DefaultSockets = 4096
 	// maxHopHeaderBytes bounds the head of a request between nodes. HTTP/2 counts 32 bytes more for each
 	// field, which has at least 4 bytes: 32 kB of the shortest fields pass.
-	maxHopHeaderBytes = 9 * 32 << 10
+	maxHopHeaderBytes = minFieldBytes / 4 * 32 << 10
+	minFieldBytes     = 36
 	// hopStreams bounds the requests on one connection of another node, and hopBuffer the bytes
 	// received but not read on it: what a link of 10 Mbit/s carries in 100 ms.
 	hopStreams = 250
 	hopBuffer  = 128 << 10
+	// hopFrame is the size of a frame, the least that HTTP/2 allows.
+	hopFrame = 16 << 10
 	// hopWriteTimeout closes a connection to another node that takes no bytes.
 	hopWriteTimeout = 10 * time.Second
 	// controlTimeout bounds reading a request at the addresses of the platform and the local server.
@@ -94,7 +97,8 @@
 // newServer returns the server of an endpoint and the door that it accepts connections from.
 func (n *Node) newServer(e endpoint, listener net.Listener) (*http.Server, *limit.Door) {
 	door := limit.NewDoor(listener, limit.DoorOptions{
-		MaxConns: n.settings.maxConns(e.kind), Memory: n.memory, HeadBytes: n.headBytes, HTTP2: e.kind == nodeAddr,
+		MaxConns: n.settings.maxConns(e.kind), Memory: n.memory, HeadBytes: n.headBytes,
+		HTTP2: e.kind == nodeAddr, HeadFields: maxHopHeaderBytes / minFieldBytes,
 	})
 	server := &http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout,
@@ -107,7 +111,7 @@
 	case nodeAddr:
 		server.MaxHeaderBytes = maxHopHeaderBytes
 		server.HTTP2 = &http.HTTP2Config{
-			MaxConcurrentStreams: hopStreams, MaxReceiveBufferPerConnection: hopBuffer, MaxReceiveBufferPerStream: hopBuffer,
+			MaxConcurrentStreams: hopStreams, MaxReadFrameSize: hopFrame, MaxReceiveBufferPerConnection: hopBuffer, MaxReceiveBufferPerStream: hopBuffer,
 			WriteByteTimeout: hopWriteTimeout,
 		}
 	case controlAddr:
