sidecar: a head that no other node accepts is refused at the entry

Cause: HTTP/2 counts 32 bytes for each header field, so a head of 100 kB of short fields exceeds the limit of the next node. The hop failed after a connection had been found, the caller got 502, and the entry took each of the nodes for unreachable, so that one client could cut its node off from the others. Change: the entry counts as HTTP/2 does, and answers 431 with code 1030 before any hop.

--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -125,6 +125,8 @@
 		"The node has no current view of the fleet.", "Use another entry address.")
 	BodyTooLarge = define(1009, "body-too-large", statusRequestEntityTooLarge, NotRun,
 		"The request body exceeds the configured limit.", "Send a smaller body.")
+	HeadTooLarge = define(1030, "head-too-large", statusHeaderTooLarge, NotRun,
+		"The request has too many header fields to be forwarded.", "Send fewer header fields.")
 	DeadlinePassed = define(1010, "deadline-passed", statusGatewayTimeout, NotRun,
 		"The deadline passed before the request was dispatched.", "Set a longer deadline or try again.")
 	RetryBudget = define(1011, "retry-budget", statusServiceUnavailable, NotRun,
--- a/internal/codes/status.go
+++ b/internal/codes/status.go
@@ -11,6 +11,7 @@
 	statusRequestEntityTooLarge = 413
 	statusUnprocessableEntity   = 422
 	statusTooManyRequests       = 429
+	statusHeaderTooLarge        = 431
 	statusInternalServerError   = 500
 	statusBadGateway            = 502
 	statusServiceUnavailable    = 503
--- a/internal/sidecar/door.go
+++ b/internal/sidecar/door.go
@@ -30,6 +30,10 @@
 	// field, which has at least 4 bytes: 32 kB of the shortest fields pass.
 	maxHopHeaderBytes = minFieldBytes / 4 * 32 << 10
 	minFieldBytes     = 36
+	// hopFieldBytes is what HTTP/2 counts for a field besides its name and value, and hopHeaderReserve
+	// the part of maxHopHeaderBytes for the fields that nodes add.
+	hopFieldBytes    = 32
+	hopHeaderReserve = 8 << 10
 	// hopStreams bounds the requests on one connection of another node, and hopBuffer the bytes
 	// received but not read on it: what a link of 10 Mbit/s carries in 100 ms.
 	hopStreams = 250
@@ -129,6 +133,18 @@
 	return 0
 }
 
+// hopHeaderBytes returns the size of a head as HTTP/2 counts it. A head that exceeds the limit of other
+// nodes would look like a fault of theirs.
+func hopHeaderBytes(header http.Header) int {
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value) + hopFieldBytes
+		}
+	}
+	return size
+}
+
 // reportDoor updates the metrics of what clients make the node hold, and logs what it refused.
 func (n *Node) reportDoor() {
 	var total limit.DoorCounts
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -118,6 +118,9 @@
 		return x, codes.NoRoute.New("no route for host %q and path %q in configuration %d", r.Host, r.URL.Path, view.Config.Version)
 	}
 	x.route = found
+	if hopHeaderBytes(r.Header) > maxHopHeaderBytes-hopHeaderReserve {
+		return x, codes.HeadTooLarge.New("the header fields exceed what one node sends to another")
+	}
 	x.setDeadlines(r)
 	account, err := x.identify(r.Header)
 	if err != nil {
