limit: the largest of the stalled clients give way first

Cause: the client that had stalled for longest gave way, whatever it held, so that a long body could end many small requests. Change: among stalled clients the one that holds most gives way.

--- a/internal/limit/doc.go
+++ b/internal/limit/doc.go
@@ -12,10 +12,10 @@
 // # Who gives way
 //
 // Whoever came first keeps its memory as long as it makes progress. When there is
-// none left, the reservations whose client owes bytes, or does not read, for longest
-// are evicted, but only after it has made no progress for a while. If nobody has
-// stalled, the newest request is refused. Progress means a number of bytes, so that
-// a client that sends a byte now and then counts as stalled.
+// none left, the largest reservations are evicted whose client owes bytes, or does
+// not read, and has made no progress for a while. If nobody has stalled, the newest
+// request is refused. Progress means a number of bytes, so that a client that sends
+// a byte now and then counts as stalled.
 //
 // # Connections
 //
--- a/internal/limit/memory.go
+++ b/internal/limit/memory.go
@@ -90,8 +90,8 @@
 	m.released = make(chan struct{})
 }
 
-// EvictStalled evicts the reservations that have stalled for longest until they hold at least bytes,
-// except for one. It returns false if too few have stalled; then it evicts those.
+// EvictStalled evicts the largest reservations of stalled clients until they hold at least bytes, except
+// for one. It returns false if too few have stalled; then it evicts those.
 func (m *Memory) EvictStalled(bytes int64, except *Reservation) bool {
 	for bytes > 0 {
 		victim, size := m.takeStalled(except)
@@ -104,25 +104,25 @@
 	return true
 }
 
-// takeStalled marks the reservation that has stalled for longest as evicted. It returns the function
-// that ends it, and its size.
+// takeStalled marks the largest reservation of a stalled client as evicted. It returns the function that
+// ends it, and its size.
 func (m *Memory) takeStalled(except *Reservation) (func(), int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	var oldest *Reservation
+	var largest *Reservation
 	for r := range m.pending {
-		if r != except && now.Sub(r.progressAt) >= r.stall && (oldest == nil || r.progressAt.Before(oldest.progressAt)) {
-			oldest = r
+		if r != except && now.Sub(r.progressAt) >= r.stall && (largest == nil || r.bytes > largest.bytes) {
+			largest = r
 		}
 	}
-	if oldest == nil {
+	if largest == nil {
 		return nil, 0
 	}
-	oldest.evicted = true
-	delete(m.pending, oldest)
+	largest.evicted = true
+	delete(m.pending, largest)
 	m.counts.Evicted++
-	return oldest.evict, oldest.bytes
+	return largest.evict, largest.bytes
 }
 
 // Handler counts the body of each request from the arrival of its bytes until next returns. Beyond
