sidecar: answers with the state of a node count as held memory

Cause: answers to other nodes' requests for the configuration were encoded and written without a bound, so that streams that do not read could hold any number of copies. Change: they reserve memory, and are written with the deadlines of other answers.

--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -26,8 +26,10 @@
 
 // ServeHTTP implements http.Handler.
 func (h *hopHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	memory := h.memory.NewReservation()
+	defer memory.Release()
 	if want := r.Header.Get(headerState); want != "" {
-		serveState(w, r, h.host.control, decodeStateRequest(want))
+		serveState(w, r, h.host.control, decodeStateRequest(want), memory)
 		return
 	}
 	metadata, err := decodeHopMetadata(r.Header.Get(headerHop))
@@ -37,8 +39,6 @@
 	}
 	h.onVersion(metadata.version, metadata.inbound)
 	arrived := time.Now()
-	memory := h.memory.NewReservation()
-	defer memory.Release()
 	body, err := receiveHop(w, r, memory, arrived.Add(metadata.remaining))
 	if err != nil {
 		// The body is incomplete, so the request is not run.
--- a/internal/sidecar/peerstate.go
+++ b/internal/sidecar/peerstate.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/gravitational/trace"
+
+	"github.com/tarragonford/tarragonford/internal/limit"
 )
 
 // maxPeerDocument is the size in bytes up to which nodes send each other the encoded
@@ -73,7 +75,14 @@
 	return reply, nil
 }
 
-func serveState(w http.ResponseWriter, r *http.Request, control *ControlLoop, want stateRequest) {
+// stateCopies is how many copies of the configuration an answer takes while it is encoded.
+const stateCopies = 3
+
+func serveState(w http.ResponseWriter, r *http.Request, control *ControlLoop, want stateRequest, memory *limit.Reservation) {
+	if !memory.Reserve(hopCost + stateCopies*int64(len(control.View().Document))) {
+		http.Error(w, "no memory for the answer", http.StatusServiceUnavailable)
+		return
+	}
 	state, err := control.stateFor(r.Context(), want)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -85,5 +94,5 @@
 		return
 	}
 	// If the write fails, the peer requests the state from another node.
-	_, _ = w.Write(body)
+	_ = memory.Send(w, limit.NewBody(body))
 }
