--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -63,6 +63,11 @@
 	Calls Counter
 	// ReturnsSuggested counts refused requests whose callers were told when to return.
 	ReturnsSuggested Counter
+	// ClientMemory is the memory that requests and answers take, in bytes.
+	ClientMemory Gauge
+	// DoorRefused counts connections, heads and bodies refused because of the limits of the process,
+	// DoorEvicted connections and requests that had to give way.
+	DoorRefused, DoorEvicted Counter
 	// LateAnswers counts responses dropped because nothing was waiting for them any more.
 	LateAnswers Counter
 	// WrongAnswers counts responses dropped because they carried the ID of another request.
