--- a/internal/beacon/datagram.go
+++ b/internal/beacon/datagram.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"math"
 	"time"
 
 	"github.com/tarragonford/tarragonford/internal/gate"
@@ -131,7 +132,7 @@
 	}
 	numbers := []uint64{
 		uint64(max(r.Age, 0).Milliseconds()), bits, uint64(r.Load.Running), uint64(r.Load.Slots),
-		uint64(r.Load.FailureProbability * probabilityScale), uint64(r.Load.Service.Milliseconds()),
+		uint64(math.Round(r.Load.FailureProbability * probabilityScale)), uint64(r.Load.Service.Milliseconds()),
 		uint64(r.Load.TrialIn.Milliseconds()), uint64(r.Load.RetriesLeft), uint64(r.Load.StopsIn.Milliseconds()),
 		uint64(r.Load.SinceLastResult.Milliseconds()),
 	}
@@ -146,7 +147,7 @@
 		}
 	}
 	if r.Load.RateLimited() {
-		numbers = append(numbers, uint64(max(r.Load.RateInterval.Milliseconds(), 1)), uint64(max(r.Load.RateTokens, 0)*tokenScale))
+		numbers = append(numbers, uint64(max(r.Load.RateInterval.Milliseconds(), 1)), uint64(math.Round(max(r.Load.RateTokens, 0)*tokenScale)))
 	}
 	if r.FollowsStore {
 		for _, next := range r.NextReads {
--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -114,7 +114,7 @@
 	case <-k.save(ctx, departed):
 		return true
 	case <-time.After(departureAckWait):
-		k.log.Warn("departure not acknowledged: neither the store nor other nodes have it", zap.String("server", departed.ID))
+		k.log.Warn("departure not acknowledged", zap.String("server", departed.ID))
 		return false
 	}
 }
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -66,13 +67,17 @@
 	accountFields     = 1
 )
 
+// scaled returns a fraction as a number of steps of 1/shareScale. Truncation would lose a step of
+// numbers that a float64 holds only nearly.
+func scaled(fraction float64) int64 { return int64(math.Round(fraction * shareScale)) }
+
 // shareScale is the resolution of fractions and probabilities in hop headers.
 const shareScale = 1000
 
 func (t hopMetadata) encode() string {
 	text := fmt.Sprintf("%d;%d;%d;%d;%d;%d;%d;%d;%d;%s;%s;%d;%s;%x", t.remaining.Milliseconds(), t.objective.Milliseconds(),
 		t.queueLimit.Milliseconds(), t.priority, boolToInt(t.idempotent), boolToInt(t.retry), boolToInt(t.firstHop),
-		int(t.retryShare*shareScale), boolToInt(t.call), t.caller, t.service, t.version, t.inbound, t.kind)
+		scaled(t.retryShare), boolToInt(t.call), t.caller, t.service, t.version, t.inbound, t.kind)
 	if t.account.InUse {
 		text += ";" + url.QueryEscape(t.account.Name)
 	}
@@ -136,12 +141,12 @@
 
 func (r loadReport) encode() string {
 	numbers := []int64{
-		int64(boolToInt(r.Open)), int64(r.Running), int64(r.Slots), int64(r.FailureProbability * shareScale),
+		int64(boolToInt(r.Open)), int64(r.Running), int64(r.Slots), scaled(r.FailureProbability),
 		r.Service.Milliseconds(), int64(boolToInt(r.Cold)), r.TrialIn.Milliseconds(), int64(r.version),
 	}
 	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastResult.Milliseconds(), int64(r.CallPercent), r.WorkService.Milliseconds())
 	if r.RateLimited() {
-		numbers = append(numbers, max(r.RateInterval.Milliseconds(), 1), int64(max(r.RateTokens, 0)*shareScale))
+		numbers = append(numbers, max(r.RateInterval.Milliseconds(), 1), scaled(max(r.RateTokens, 0)))
 	}
 	var text []byte
 	for i, n := range numbers {
