pick: servers without a report count as empty, and replaced requests by slot

Cause: a server that joins has no report, and its requests counted as replaced by the mean of the others: with 16 held requests it looked full. The mean also took no account of servers with more slots than others. Change: the mean is that of a slot, and a server without a report has none. The test failed first (16.5 requests held where none were).

--- a/internal/pick/level.go
+++ b/internal/pick/level.go
@@ -66,46 +66,46 @@
 	dataCentre string
 	transfer   float64
 	curves     []curve
-	// reported is the number of healthy servers of the data centre that have reported, with room or
-	// not, running the number of requests that they ran, and replaced the sum over them of the share of
-	// these requests that others replace during the life of the report.
-	reported int
-	running  int
-	replaced float64
+	// running and slots are the sums over the healthy servers of the data centre that have reported,
+	// with room or not, and replaced that of the slots whose requests others replace during the life of
+	// the report.
+	running, slots int
+	replaced       float64
 	// ownSent is the number of requests that this picker has sent there since the reports.
 	ownSent int
 }
 
 // observe counts a server for the estimate of the unseen arrivals. Unhealthy servers get few requests
-// and would lower the mean.
+// and would lower the utilization.
 func (g *group) observe(k *knowledge) {
 	if k.state.reported.IsZero() || !k.state.load.Open || !k.state.load.Healthy() {
 		return
 	}
-	g.reported++
 	g.running += k.state.load.Running
+	g.slots += k.state.load.Slots
 	// All choosers use a report until the next one, on average for twice the age that it has now.
-	g.replaced += 1 - k.stillRunning*k.stillRunning
+	g.replaced += float64(k.state.load.Slots) * (1 - k.stillRunning*k.stillRunning)
 	g.ownSent += len(k.state.sent)
 }
 
-// meanRunning is the mean number of requests that the servers run.
-func (g *group) meanRunning() float64 { return float64(g.running) / float64(max(g.reported, 1)) }
+// utilization is the mean number of requests that the servers run in a slot.
+func (g *group) utilization() float64 { return float64(g.running) / float64(max(g.slots, 1)) }
 
 // runningNow is the number of requests that a server is expected to run if it gets as many as the
 // mean since its report. Requests that waited have taken the slots that became free.
 func (g *group) runningNow(k *knowledge) float64 {
-	if k.state.load.Ahead(gate.PriorityLevels) > 0 {
-		return float64(k.state.load.Running)
+	load := &k.state.load
+	if load.Ahead(gate.PriorityLevels) > 0 {
+		return float64(load.Running)
 	}
-	return float64(k.state.load.Running)*k.stillRunning + g.meanRunning()*(1-k.stillRunning)
+	return float64(load.Running)*k.stillRunning + g.utilization()*float64(load.Slots)*(1-k.stillRunning)
 }
 
 // unseenArrivals is the expected number of requests that other choosers send to the servers while
 // these reports are in use, less those that end meanwhile. In a steady state as many begin as end.
 // No more than the free slots are expected to find a place.
 func (g *group) unseenArrivals() float64 {
-	arrivals := g.meanRunning() * g.replaced
+	arrivals := g.utilization() * g.replaced
 	free := 0.0
 	for i := range g.curves {
 		free += g.curves[i].free()
@@ -174,11 +174,11 @@
 	return last
 }
 
-// keepSimilar drops the servers whose cost apart from their load exceeds that of another one.
-func (g *group) keepSimilar(to float64) {
+// keepSimilar drops the servers whose cost apart from their load is clearly above base.
+func (g *group) keepSimilar(base float64) {
 	kept := g.curves[:0]
 	for _, c := range g.curves {
-		if c.base <= to+maxBaseDifference {
+		if c.base <= base+maxBaseDifference {
 			kept = append(kept, c)
 		}
 	}
--- a/internal/pick/level_test.go
+++ b/internal/pick/level_test.go
@@ -139,3 +139,19 @@
 		g.Expect(candidates[choice.Index].DataCentre).To(Equal("a"))
 	}
 }
+
+// Guards against a server that joins and gets nothing because it counts as loaded like the others, or
+// because a large server is taken for one of their size.
+func TestOnlyReportsAgeTowardsTheMeanUtilization(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	large := healthy(30)
+	large.Slots = 60
+	p.Report(start.Add(-time.Hour), "large", large)
+	p.Report(start.Add(-time.Hour), "small", healthy(3))
+	candidates := []Candidate{{ID: "joining", DataCentre: "a"}, {ID: "large", DataCentre: "a"}, {ID: "small", DataCentre: "a"}}
+	e := p.Explain(start, candidates, Query{Objective: 2 * time.Second})
+	g.Expect(e.Candidates[0].Held).To(BeZero())
+	g.Expect(e.Candidates[1].Held).To(BeNumerically("~", 30, 0.01))
+	g.Expect(e.Candidates[2].Held).To(BeNumerically("~", 3, 0.01))
+}
