--- a/internal/experiment/evenload.go
+++ b/internal/experiment/evenload.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"sync"
 	"time"
 
 	"github.com/tarragonford/tarragonford/internal/pick"
@@ -9,7 +10,9 @@
 const (
 	// evenDuration is the virtual time of one run: about 5,600 requests at equal servers.
 	evenDuration = 10 * time.Second
-	evenServers  = 40
+	// evenRuns is the number of runs with different seeds for each row.
+	evenRuns    = 3
+	evenServers = 40
 )
 
 var (
@@ -91,7 +94,7 @@
 			for _, interval := range intervals {
 				for _, policy := range evenPolicies {
 					c := evenCase{seed: seed, policy: policy, fleet: fleet, choosers: count, interval: interval, duration: duration}
-					addEvenRow(table, c, newEvenWorld(c).run())
+					addEvenRow(table, c, runEvenCase(c))
 				}
 			}
 		}
@@ -99,6 +102,23 @@
 	return table
 }
 
+// runEvenCase returns the sum of evenRuns runs.
+func runEvenCase(c evenCase) evenResult {
+	results := make([]evenResult, evenRuns)
+	var running sync.WaitGroup
+	for i := range results {
+		c := c
+		c.seed = evenRuns*c.seed + uint64(i)
+		running.Go(func() { results[i] = newEvenWorld(c).run() })
+	}
+	running.Wait()
+	var sum evenResult
+	for _, r := range results {
+		sum.add(r)
+	}
+	return sum
+}
+
 func addEvenRow(table *Table, c evenCase, r evenResult) {
 	table.Add(c.fleet.name, c.choosers, c.interval.Milliseconds(), c.policy.name,
 		formatDecimal(r.largestOverMean(), 2), formatDecimal(r.perRequest(r.refusedHops), 3),
--- a/internal/experiment/evenload_test.go
+++ b/internal/experiment/evenload_test.go
@@ -7,20 +7,9 @@
 	. "github.com/onsi/gomega"
 )
 
-// evenRun returns the result of a policy for 70 choosers and reports each 100 ms, over three seeds.
+// evenRun returns the result of a policy for 70 choosers and reports each 100 ms.
 func evenRun(policy evenPolicy, fleet evenFleet) evenResult {
-	var sum evenResult
-	for seed := range uint64(3) {
-		r := newEvenWorld(evenCase{
-			seed: seed, policy: policy, fleet: fleet, choosers: 70, interval: 100 * time.Millisecond, duration: 8 * time.Second,
-		}).run()
-		sum.requests += r.requests
-		sum.refusedHops += r.refusedHops
-		sum.failed += r.failed
-		sum.otherDataCentre += r.otherDataCentre
-		sum.ratios = append(sum.ratios, r.ratios...)
-	}
-	return sum
+	return runEvenCase(evenCase{policy: policy, fleet: fleet, choosers: 70, interval: 100 * time.Millisecond, duration: 8 * time.Second})
 }
 
 // Guards against herds on the servers that looked idle: by the least cost, more than one hop in two
--- a/internal/experiment/evenload_world.go
+++ b/internal/experiment/evenload_world.go
@@ -379,6 +379,17 @@
 	ratios []float64
 }
 
+func (r *evenResult) add(other evenResult) {
+	r.requests += other.requests
+	r.refusedHops += other.refusedHops
+	r.rejected += other.rejected
+	r.otherDataCentre += other.otherDataCentre
+	r.failed += other.failed
+	r.waits = append(r.waits, other.waits...)
+	r.responses = append(r.responses, other.responses...)
+	r.ratios = append(r.ratios, other.ratios...)
+}
+
 func (r *evenResult) perRequest(n int) float64 { return float64(n) / float64(max(r.requests, 1)) }
 
 func (r *evenResult) largestOverMean() float64 {
