--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -22,8 +22,8 @@
 // # Old reports
 //
 // Of the requests that a report shows, exp(-age / service time) still run. WaterFilling
-// assumes that the mean number of the healthy servers of the data centre has replaced
-// the rest; LeastCost lets the load fade.
+// assumes that others have replaced the rest, by the mean utilization of the healthy
+// servers of the data centre; LeastCost lets the load fade.
 //
 // Within the data centre, WaterFilling also accounts for the requests that other
 // choosers send by the same reports until the next ones. These unseen arrivals, summed
@@ -34,8 +34,8 @@
 // the lowest cost is chosen, with old ones the draw is in proportion to free slots.
 // LeastCost takes the server of the lowest cost at any age.
 //
-// The estimate follows a burst only with the next reports. Refusals report full servers,
-// so that the mean is too high where most reports are older than a second.
+// The estimate follows a burst only with the next reports. With reports older than a
+// second, WaterFilling is no better than LeastCost.
 //
 // # Trials and exclusion
 //
