--- a/internal/experiment/evenload.go
+++ b/internal/experiment/evenload.go
@@ -16,7 +16,7 @@
 )
 
 var (
-	evenAges     = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second}
+	evenIntervals     = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second}
 	evenChoosers = []int{5, 20, 100}
 )
 
@@ -73,15 +73,15 @@
 	Name:    "even-load",
 	Summary: "choice of server against the age of load reports and the number of choosers",
 	Run: func(o Options) (*Table, error) {
-		return runEvenLoad(o.Seed, evenDuration, evenChoosers, evenAges), nil
+		return runEvenLoad(o.Seed, evenDuration, evenChoosers, evenIntervals), nil
 	},
 	Plot: plotEvenLoad,
 }
 
 // evenColumns are the columns of the table. largest_over_mean compares the load of the busiest
 // server with the mean load, in windows of half a second; refused_hops counts the refusals of
-// servers for each request; rejected the share of the requests that no server
-// accepts, and failed that of those that a server fails.
+// servers for each request; rejected is the share of the requests that no server accepts, and failed
+// the share of those that a server fails.
 var evenColumns = []string{
 	"servers", "choosers", "interval_ms", "policy", "largest_over_mean", "refused_hops", "rejected",
 	"failed", "wait_ms", "p99_ms", "other_data_centre",
@@ -107,9 +107,9 @@
 	results := make([]evenResult, evenRuns)
 	var running sync.WaitGroup
 	for i := range results {
-		c := c
-		c.seed = evenRuns*c.seed + uint64(i)
-		running.Go(func() { results[i] = newEvenWorld(c).run() })
+		run := c
+		run.seed = evenRuns*c.seed + uint64(i)
+		running.Go(func() { results[i] = newEvenWorld(run).run() })
 	}
 	running.Wait()
 	var sum evenResult
