--- a/internal/experiment/evenload.go
+++ b/internal/experiment/evenload.go
@@ -16,8 +16,8 @@
 )
 
 var (
-	evenIntervals     = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second}
-	evenChoosers = []int{5, 20, 100}
+	evenIntervals = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second}
+	evenChoosers  = []int{5, 20, 100}
 )
 
 // evenPolicy is a way to choose a server.
