--- a/internal/experiment/evenload.go
+++ b/internal/experiment/evenload.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"sync"
 	"time"
 
 	"github.com/tarragonford/tarragonford/internal/pick"
@@ -9,12 +10,14 @@
 const (
 	// evenDuration is the virtual time of one run: about 5,600 requests at equal servers.
 	evenDuration = 10 * time.Second
-	evenServers  = 40
+	// evenRuns is the number of runs with different seeds for each row.
+	evenRuns    = 3
+	evenServers = 40
 )
 
 var (
-	evenAges     = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second}
-	evenChoosers = []int{5, 20, 100}
+	evenIntervals = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second}
+	evenChoosers  = []int{5, 20, 100}
 )
 
 // evenPolicy is a way to choose a server.
@@ -70,15 +73,15 @@
 	Name:    "even-load",
 	Summary: "choice of server against the age of load reports and the number of choosers",
 	Run: func(o Options) (*Table, error) {
-		return runEvenLoad(o.Seed, evenDuration, evenChoosers, evenAges), nil
+		return runEvenLoad(o.Seed, evenDuration, evenChoosers, evenIntervals), nil
 	},
 	Plot: plotEvenLoad,
 }
 
 // evenColumns are the columns of the table. largest_over_mean compares the load of the busiest
 // server with the mean load, in windows of half a second; refused_hops counts the refusals of
-// servers for each request; rejected the share of the requests that no server
-// accepts, and failed that of those that a server fails.
+// servers for each request; rejected is the share of the requests that no server accepts, and failed
+// the share of those that a server fails.
 var evenColumns = []string{
 	"servers", "choosers", "interval_ms", "policy", "largest_over_mean", "refused_hops", "rejected",
 	"failed", "wait_ms", "p99_ms", "other_data_centre",
@@ -91,7 +94,7 @@
 			for _, interval := range intervals {
 				for _, policy := range evenPolicies {
 					c := evenCase{seed: seed, policy: policy, fleet: fleet, choosers: count, interval: interval, duration: duration}
-					addEvenRow(table, c, newEvenWorld(c).run())
+					addEvenRow(table, c, runEvenCase(c))
 				}
 			}
 		}
@@ -99,6 +102,23 @@
 	return table
 }
 
+// runEvenCase returns the sum of evenRuns runs.
+func runEvenCase(c evenCase) evenResult {
+	results := make([]evenResult, evenRuns)
+	var running sync.WaitGroup
+	for i := range results {
+		run := c
+		run.seed = evenRuns*c.seed + uint64(i)
+		running.Go(func() { results[i] = newEvenWorld(run).run() })
+	}
+	running.Wait()
+	var sum evenResult
+	for _, r := range results {
+		sum.add(r)
+	}
+	return sum
+}
+
 func addEvenRow(table *Table, c evenCase, r evenResult) {
 	table.Add(c.fleet.name, c.choosers, c.interval.Milliseconds(), c.policy.name,
 		formatDecimal(r.largestOverMean(), 2), formatDecimal(r.perRequest(r.refusedHops), 3),
