pick: an ended node is left out, and one that was only closed comes back by any report

Cause: each entry tried each unreachable node again after two seconds at most, for as long as its row stands. A node of another data centre that was closed for a moment stayed excluded until the end of its backoff, because its beacons arrive by other nodes.

Change: an unreachable node of which nothing is heard by any path is excluded for 10 s. A forwarded report ends the exclusion of a node that had only refused.

--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -48,6 +48,9 @@
 	// minBackoff and MaxBackoff bound the time for which an unreachable node is excluded.
 	minBackoff = 250 * time.Millisecond
 	MaxBackoff = 2 * time.Second
+	// silentBackoff is the time for which a node is excluded that could not be reached and of which
+	// nothing has been heard since. A node that is back sends beacons within a second.
+	silentBackoff = 10 * time.Second
 	// defaultSlots is the capacity assumed before the first report.
 	defaultSlots = 4
 	// defaultServiceTime is the service time assumed before the first report.
--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -44,5 +44,6 @@
 // therefore cheaper for requests from its data centre that can be retried elsewhere.
 //
 // A candidate that refused is excluded until the time that it named; one that
-// cannot be reached is excluded for a backoff that doubles up to MaxBackoff.
+// cannot be reached is excluded for a backoff that doubles up to MaxBackoff, and for silentBackoff while
+// nothing is heard of it by any path.
 package pick
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -132,3 +132,42 @@
 	p.Report(start, "near", full)
 	g.Expect(chosen(p, Query{LocalMaxWait: 2 * time.Second, Bytes: 8 << 10})).To(Equal("far"), "a long wait")
 }
+
+// Guards against requests that wait for a connection to instances that have ended: after a power loss of a
+// part of a fleet, each entry tried each of them again every two seconds.
+func TestANodeThatEndedIsNotTriedAfterEachBackoff(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	candidates := []Candidate{{ID: "ended", DataCentre: "a", Region: "r"}}
+	accepted := func(at time.Duration) bool {
+		_, ok := p.Choose(start.Add(at), func() float64 { return 0.5 }, candidates, Query{Idempotent: true, Objective: time.Second, Remaining: time.Second})
+		return ok
+	}
+	p.UpdateLoad(start, "ended", gate.Load{Open: true, Slots: 6}, true)
+	p.MarkUnreachable(start.Add(time.Second), "ended")
+	g.Expect(accepted(4 * time.Second)).To(BeFalse())
+	// Another node has heard of it since: it lives, and only the backoff counts.
+	p.UpdateLoad(start.Add(4*time.Second), "ended", gate.Load{Open: true, Slots: 6}, false)
+	g.Expect(accepted(4 * time.Second)).To(BeTrue())
+	p.MarkUnreachable(start.Add(5*time.Second), "ended")
+	g.Expect(accepted(14 * time.Second)).To(BeFalse())
+	g.Expect(accepted(16*time.Second)).To(BeTrue(), "it is tried again at last")
+}
+
+// Guards against nodes of other data centres that stay excluded after they were closed for a moment, as all
+// are right after a restart of the fleet: their reports arrive by other nodes only.
+func TestAForwardedReportEndsTheExclusionOfAClosedNode(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	candidates := []Candidate{{ID: "far", DataCentre: "b", Region: "r"}}
+	query := Query{Idempotent: true, Objective: time.Second, Remaining: time.Second}
+	for range 4 {
+		p.MarkRefused(start, "far", gate.Closed)
+	}
+	at := start.Add(300 * time.Millisecond)
+	_, ok := p.Choose(at, func() float64 { return 0.5 }, candidates, query)
+	g.Expect(ok).To(BeFalse())
+	p.UpdateLoad(at, "far", gate.Load{Open: true, Slots: 6}, false)
+	_, ok = p.Choose(at, func() float64 { return 0.5 }, candidates, query)
+	g.Expect(ok).To(BeTrue())
+}
--- a/internal/pick/reports.go
+++ b/internal/pick/reports.go
@@ -17,6 +17,9 @@
 	// excludedUntil is the end of the backoff after a refusal or a failed connection.
 	excludedUntil time.Time
 	backoff       time.Duration
+	// unreachableAt is the time of the last failed connection; zero after a sign that the node can be
+	// reached.
+	unreachableAt time.Time
 }
 
 func (p *Picker) state(id string) *nodeState {
@@ -50,7 +53,7 @@
 // objection returns why the node is known to refuse the request. load is the report brought up to
 // date.
 func (s *nodeState) objection(now time.Time, q *Query, load *gate.Load, maxWait time.Duration, remote bool) Objection {
-	if now.Before(s.excludedUntil) {
+	if now.Before(s.excludedUntil) || s.silent(now) {
 		return Excluded
 	}
 	age := now.Sub(s.reported)
@@ -83,6 +86,12 @@
 	return NoObjection
 }
 
+// silent reports whether a node that could not be reached has not been heard of since, by any path. Its
+// instance has probably ended, and trying it after each backoff would delay one request each time.
+func (s *nodeState) silent(now time.Time) bool {
+	return !s.unreachableAt.IsZero() && s.reported.Before(s.unreachableAt) && now.Before(s.unreachableAt.Add(silentBackoff))
+}
+
 // needsTrial reports whether the request is suited to show the health of a server that has had no
 // result for a while.
 func (s *nodeState) needsTrial(now time.Time, q *Query) bool {
@@ -114,10 +123,11 @@
 
 func (s *nodeState) update(at time.Time, load gate.Load, reachable bool) {
 	s.load, s.reported, s.sent = load, at, newerThan(s.sent, at)
-	if !reachable {
+	if !reachable && !s.unreachableAt.IsZero() {
 		return
 	}
-	s.backoff = 0
+	// The node was only closed, or has answered since it could not be reached.
+	s.backoff, s.unreachableAt = 0, time.Time{}
 	if load.Open {
 		s.excludedUntil = time.Time{}
 	}
@@ -149,6 +159,7 @@
 	defer p.mu.Unlock()
 	s := p.state(id)
 	s.backOff(now)
+	s.unreachableAt = now
 	return s.backoff
 }
 
