pick: the last retry of a server is left to its own data centre

Reports from other data centres are older, and a hop that is refused for the budget costs bytes between them.

--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -257,7 +257,7 @@
 	}
 	// The node refuses all requests, or has no retries left for this one, or stops before the
 	// deadline of the request.
-	if !s.load.Open || q.Retry && s.load.RetriesLeft < 1 || s.load.StopsIn > 0 && q.Remaining > s.load.StopsIn-age {
+	if !s.load.Open || q.Retry && !s.hasRetryFor(remote) || s.load.StopsIn > 0 && q.Remaining > s.load.StopsIn-age {
 		return false
 	}
 	// An unhealthy server gets only a trial: an idempotent request that can be retried elsewhere,
@@ -275,6 +275,15 @@
 	return s.load.ExpectedWait(q.Priority, unreported, age) <= maxWait
 }
 
+// hasRetryFor reports whether the retry budget of the server probably admits a retry. The last one is
+// left to entries of its own data centre: reports from others are older, and a refused hop costs more.
+func (s *nodeState) hasRetryFor(remote bool) bool {
+	if remote {
+		return s.load.RetriesLeft > 1
+	}
+	return s.load.RetriesLeft > 0
+}
+
 // maxWait returns how long the request may be expected to wait at a candidate: MaxWait, or longer
 // in the entry's own data centre, up to LocalMaxWait, while the wait costs no more than a transfer
 // to another data centre, even if a slot is free there.
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -132,3 +132,21 @@
 	p.Report(start, "near", full)
 	g.Expect(chosen(p, Query{LocalMaxWait: 2 * time.Second, Bytes: 8 << 10})).To(Equal("far"), "a long wait")
 }
+
+// Load: all servers of a service have hardly any retries left, and entries of all data centres look for one.
+// Guards against hops to other data centres that are refused for the budget because the report was old.
+func TestTheLastRetryStaysInTheDataCentre(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	last := healthy(0)
+	last.RetriesLeft = 1
+	p.Report(start, "near", last)
+	p.Report(start, "far", last)
+	exclude := func(id string) bool { return id == "near" }
+	g.Expect(chosen(p, Query{Retry: true})).To(Equal("near"))
+	g.Expect(chosen(p, Query{Retry: true, Exclude: exclude})).To(BeEmpty())
+	g.Expect(chosen(p, Query{Exclude: exclude})).To(Equal("far"))
+	last.RetriesLeft = 2
+	p.Report(start, "far", last)
+	g.Expect(chosen(p, Query{Retry: true, Exclude: exclude})).To(Equal("far"))
+}
