--- a/internal/origin/classifier.go
+++ b/internal/origin/classifier.go
@@ -31,14 +31,17 @@
 	// since is the time up to which times are counted, and settled the one up to which an idle server
 	// counts as running.
 	since, settled time.Time
-	halvedAt       time.Time
-	kinds          map[uint32]*arrivals
+	// idle and busy are the times that the server has spent in both states.
+	idle, busy time.Duration
+	halvedAt   time.Time
+	kinds      map[uint32]*arrivals
 }
 
-// arrivals counts the requests of one kind, and the time since the first of them.
+// arrivals counts the requests of one kind.
 type arrivals struct {
-	idle, busy         float64
-	idleTime, busyTime time.Duration
+	idle, busy float64
+	// idleFrom and busyFrom are the times in both states before the first request.
+	idleFrom, busyFrom time.Duration
 	// sentByCallers is set once the kind has had minIdleArrivals.
 	sentByCallers bool
 }
@@ -67,7 +70,7 @@
 	}
 }
 
-// account adds the time since the last event to the times of all kinds.
+// account adds the time since the last event.
 func (c *Classifier) account(now time.Time) {
 	elapsed := now.Sub(c.since)
 	if elapsed <= 0 {
@@ -78,10 +81,8 @@
 		settling = elapsed
 		c.settled = now.Add(settleTime)
 	}
-	for _, kind := range c.kinds {
-		kind.busyTime += settling
-		kind.idleTime += elapsed - settling
-	}
+	c.busy += settling
+	c.idle += elapsed - settling
 	c.since = now
 }
 
@@ -96,7 +97,7 @@
 		if len(c.kinds) >= maxKinds {
 			return Estimate{CallProbability: 1}
 		}
-		known = &arrivals{}
+		known = &arrivals{idleFrom: c.idle, busyFrom: c.busy}
 		c.kinds[kind] = known
 	}
 	if !c.running && now.After(c.settled) {
@@ -105,19 +106,20 @@
 		return Estimate{}
 	}
 	known.busy++
-	return known.estimate()
+	return known.estimate(c.idle-known.idleFrom, c.busy-known.busyFrom)
 }
 
-// estimate compares the arrivals at the busy server with those that callers explain.
-func (a *arrivals) estimate() Estimate {
+// estimate compares the arrivals at the busy server with those that callers explain, for the times
+// that the server has spent in both states since the first arrival.
+func (a *arrivals) estimate(idle, busy time.Duration) Estimate {
 	if !a.sentByCallers {
-		expected := a.busy / max(a.busyTime, settleTime).Seconds() * a.idleTime.Seconds()
+		expected := a.busy / max(busy, settleTime).Seconds() * idle.Seconds()
 		return Estimate{CallProbability: 1, Call: a.idle == 0 && expected >= expectedIdleArrivals}
 	}
-	if a.idleTime <= 0 {
+	if idle <= 0 {
 		return Estimate{CallProbability: 1}
 	}
-	callers := a.idle / a.idleTime.Seconds() * a.busyTime.Seconds()
+	callers := a.idle / idle.Seconds() * busy.Seconds()
 	return Estimate{CallProbability: max(1-callers/a.busy, 0)}
 }
 
@@ -130,7 +132,7 @@
 	for _, known := range c.kinds {
 		known.idle /= 2
 		known.busy /= 2
-		known.idleTime /= 2
-		known.busyTime /= 2
+		known.idleFrom += (c.idle - known.idleFrom) / 2
+		known.busyFrom += (c.busy - known.busyFrom) / 2
 	}
 }
--- a/internal/origin/classifier_test.go
+++ b/internal/origin/classifier_test.go
@@ -92,3 +92,17 @@
 		}
 	})
 }
+
+// An entry classifies each request, so the cost must not grow with the number of kinds.
+func BenchmarkObserve(b *testing.B) {
+	c := New(start)
+	for kind := range uint32(maxKinds) {
+		c.Observe(start, kind)
+	}
+	now := start.Add(startTime)
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		c.SetRunning(now, i%2 == 0)
+		c.Observe(now, uint32(i%maxKinds))
+	}
+}
