--- a/internal/beacon/datagram.go
+++ b/internal/beacon/datagram.go
@@ -31,8 +31,8 @@
 	bitFollowsStore
 	// bitRateLimited tells that the report ends with the rate limit of the server.
 	bitRateLimited
-	// bitCalls tells that the report has the share of calls and the service time without them, and bitWaiting that it has the numbers of
-	// waiting requests by rank.
+	// bitCalls tells that the report has the share of calls and the service time without them,
+	// bitWaiting that it has the numbers of waiting requests by rank.
 	bitCalls
 	bitWaiting
 )
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -139,7 +139,8 @@
 		int64(boolToInt(r.Open)), int64(r.Running), int64(r.Slots), int64(r.FailureProbability * shareScale),
 		r.Service.Milliseconds(), int64(boolToInt(r.Cold)), r.TrialIn.Milliseconds(), int64(r.version),
 	}
-	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastResult.Milliseconds(), int64(r.CallPercent), r.WorkService.Milliseconds())
+	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastResult.Milliseconds(),
+		int64(r.CallPercent), r.WorkService.Milliseconds())
 	if r.RateLimited() {
 		numbers = append(numbers, max(r.RateInterval.Milliseconds(), 1), int64(max(r.RateTokens, 0)*shareScale))
 	}
@@ -176,7 +177,8 @@
 	return waiting, true
 }
 
-// A load report has loadReportFields numbers, and rateFields more if the server limits the rate.
+// A load report has loadReportFields numbers, rateFields more if the server limits the rate, and the
+// queue if requests wait.
 const (
 	loadReportFields = 13
 	rateFields       = 2
