--- a/internal/pick/reports.go
+++ b/internal/pick/reports.go
@@ -63,7 +63,7 @@
 	switch {
 	case !s.load.Open:
 		return Closed
-	case q.Retry && s.load.RetriesLeft < 1:
+	case q.Retry && !s.hasRetryFor(remote):
 		return NoRetriesLeft
 	case s.load.StopsIn > 0 && q.Remaining > s.load.StopsIn-age:
 		return Stopping
@@ -86,6 +86,15 @@
 	return NoObjection
 }
 
+// hasRetryFor reports whether the retry budget of the server probably admits a retry. The last one is
+// left to entries of its own data centre: reports from others are older, and a refused hop costs more.
+func (s *nodeState) hasRetryFor(remote bool) bool {
+	if remote {
+		return s.load.RetriesLeft > 1
+	}
+	return s.load.RetriesLeft > 0
+}
+
 // silent reports whether a node that could not be reached has not been heard of since, by any path. Its
 // instance has probably ended, and trying it after each backoff would delay one request each time.
 func (s *nodeState) silent(now time.Time) bool {
