currency: keep the proofs of several versions

Change: a node keeps the proofs of the last eight versions that it has heard of. TestProofsOutliveAQuickSeriesOfVersions fails with the code before.

--- a/internal/currency/currency_test.go
+++ b/internal/currency/currency_test.go
@@ -226,3 +226,20 @@
 	g.Expect(policy.Holds(proofs, 3, 6*time.Second)).To(BeTrue())
 	g.Expect(policy.Holds(proofs, 4, 6*time.Second)).To(BeTrue(), "what proves an older version proves a newer one")
 }
+
+// Guards against a node that refuses keys because it has heard of two newer versions before it has
+// received them, as when keys are withdrawn in quick succession.
+func TestProofsOutliveAQuickSeriesOfVersions(t *testing.T) {
+	g := NewWithT(t)
+	policy := Policy{Within: 4 * time.Second}
+	proofs := Proofs{}
+	for version := uint64(1); version <= 5; version++ {
+		proofs = proofs.Add(Proof{Version: version, At: time.Second})
+	}
+	g.Expect(policy.Holds(proofs, 1, 2*time.Second)).To(BeTrue())
+	g.Expect(policy.Holds(proofs, 1, 5*time.Second)).To(BeFalse())
+	for version := uint64(6); version <= 100; version++ {
+		proofs = proofs.Add(Proof{Version: version, At: time.Second})
+	}
+	g.Expect(len(proofs.byVersion)).To(Equal(maxProofs))
+}
--- a/internal/currency/proof.go
+++ b/internal/currency/proof.go
@@ -1,6 +1,10 @@
 package currency
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Proof states that at some moment not before At, no version newer than Version existed.
 type Proof struct {
@@ -9,51 +13,57 @@
 	At time.Duration
 }
 
-// Proofs holds the best proofs of the newest version and of the one before it, for requests that
-// still refer to that one. The zero value holds none.
+// maxProofs bounds the versions whose proofs are kept. Some versions may follow each other before a
+// node has received the first of them.
+const maxProofs = 8
+
+// Proofs holds the latest proof of each of the newest versions, in their order, because a node may hear of
+// newer versions before it has them, and a request may still refer to the version before. The zero
+// value holds none.
 type Proofs struct {
-	newest, previous *Proof
+	byVersion []Proof
 }
 
 // Add returns the proofs with one more.
 func (p Proofs) Add(proof Proof) Proofs {
-	switch {
-	case p.newest == nil:
-		return Proofs{newest: &proof}
-	case proof.Version > p.newest.Version:
-		return Proofs{newest: &proof, previous: p.newest}
-	}
-	// A proof of an older version proves each newer one as well.
-	result := Proofs{newest: later(p.newest, proof.At), previous: p.previous}
-	if p.previous != nil && proof.Version <= p.previous.Version {
-		result.previous = later(p.previous, proof.At)
+	i, known := slices.BinarySearchFunc(p.byVersion, proof.Version, func(p Proof, version uint64) int { return cmp.Compare(p.Version, version) })
+	result := slices.Clone(p.byVersion)
+	if known {
+		result[i].At = max(result[i].At, proof.At)
+	} else {
+		result = slices.Insert(result, i, proof)
 	}
-	return result
-}
-
-func later(p *Proof, at time.Duration) *Proof {
-	if at <= p.At {
-		return p
-	}
-	return &Proof{Version: p.Version, At: at}
+	return Proofs{byVersion: result[max(len(result)-maxProofs, 0):]}
 }
 
 // Newest returns the best proof of the newest version; false if there is none.
 func (p Proofs) Newest() (Proof, bool) {
-	if p.newest == nil {
+	if len(p.byVersion) == 0 {
 		return Proof{}, false
 	}
-	return *p.newest, true
+	version := p.byVersion[len(p.byVersion)-1].Version
+	at, _ := p.provedAt(version)
+	return Proof{Version: version, At: at}, true
 }
 
 // Age returns how long ago the version was proved to be the newest; false if it never was.
 func (p Proofs) Age(version uint64, now time.Duration) (time.Duration, bool) {
-	for _, proof := range []*Proof{p.newest, p.previous} {
-		if proof != nil && proof.Version <= version {
-			return now - proof.At, true
+	at, proved := p.provedAt(version)
+	return now - at, proved
+}
+
+// provedAt returns the latest time of the proofs of a version. A proof of an older version proves
+// each newer one as well.
+func (p Proofs) provedAt(version uint64) (at time.Duration, proved bool) {
+	for _, proof := range p.byVersion {
+		if proof.Version > version {
+			break
+		}
+		if !proved || proof.At > at {
+			at, proved = proof.At, true
 		}
 	}
-	return 0, false
+	return at, proved
 }
 
 // Policy derives the times of a node from the time within which a change must bind it.
