--- a/internal/sidecar/confirmations.go
+++ b/internal/sidecar/confirmations.go
@@ -217,7 +217,8 @@
 const maxReportedAge = 24 * time.Hour
 
 // confirmCandidates returns the nodes that are asked for proofs: the watchers that are heard, those
-// of the local data centre first, and then any others, each in random order.
+// of the local data centre and of others by turns, and then any other nodes, each in random order.
+// A watcher of another data centre comes second, because those of the local one may be lost together.
 func (b *beacons) confirmCandidates() []Member {
 	view := b.control.View()
 	now := time.Now()
@@ -236,5 +237,10 @@
 	for _, members := range [][]Member{local, remote, others} {
 		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	}
-	return append(append(local, remote...), others...)
+	var candidates []Member
+	for i := range max(len(local), len(remote)) {
+		candidates = append(candidates, local[min(i, len(local)):min(i+1, len(local))]...)
+		candidates = append(candidates, remote[min(i, len(remote)):min(i+1, len(remote))]...)
+	}
+	return append(candidates, others...)
 }
--- a/internal/sidecar/confirmations_test.go
+++ b/internal/sidecar/confirmations_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/tarragonford/tarragonford/internal/beacon"
 	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/settings"
@@ -88,3 +89,28 @@
 	}
 	return process.Metrics
 }
+
+// Guards against a node that asks only the watchers of its own data centre, which may be lost together,
+// and against one that asks nobody while it hears no watcher.
+func TestWatchersOfSeveralDataCentresAreAskedByTurns(t *testing.T) {
+	g := NewWithT(t)
+	self := Member{ID: "self", DataCentre: "a"}
+	b := &beacons{self: self, control: NewControlLoop(self, func(_, _ *View) {}), table: beacon.NewTable()}
+	rows := memberChanges{Version: 1, Complete: true}
+	for id, dataCentre := range map[string]string{"a-1": "a", "a-2": "a", "a-3": "a", "b-1": "b", "c-1": "c", "c-2": "c"} {
+		rows.Rows = append(rows.Rows, memberRow{Member: Member{ID: id, DataCentre: dataCentre, Beacon: "10.0.0.1:1"}, Version: 1})
+	}
+	b.control.apply(func(s *state) { s.mergeMembers(rows) })
+	places := func() (places string) {
+		for _, member := range b.confirmCandidates() {
+			places += member.DataCentre
+		}
+		return places
+	}
+	g.Expect(places()).To(HaveLen(6))
+	for _, id := range []string{"a-1", "a-2", "b-1"} {
+		b.table.Update(time.Now(), beacon.AgedReport{Report: beacon.Report{Node: beacon.HashNode(id), FollowsStore: true}})
+	}
+	g.Expect(places()).To(HavePrefix("aba"))
+	g.Expect(places()).To(HaveLen(6))
+}
