limit: an aborted stream leaves the connection between nodes as it is

Cause: the door marked the whole connection to be reset at its close when one stream was aborted, which could lose the answers of other streams. Change: only connections of HTTP/1 are reset. Test: TestAbortedStreamLeavesItsConnection failed before.

--- a/internal/limit/door.go
+++ b/internal/limit/door.go
@@ -75,15 +75,15 @@
 func (d *Door) Install(server *http.Server) {
 	server.ConnContext = ConnContext
 	server.ConnState = setState
-	server.Handler = ResetOnAbort(d.handler(server.Handler))
+	if !d.options.HTTP2 {
+		// The connections of nodes outlive the streams that end early.
+		server.Handler = ResetOnAbort(d.handler(server.Handler))
+	}
 }
 
 // handler tells the connection that the head has been read, and bounds how long the client may take
 // for what the handler leaves: the rest of the body, and the end of the answer.
 func (d *Door) handler(next http.Handler) http.Handler {
-	if d.options.HTTP2 {
-		return next
-	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := connOf(r.Context()); ok {
 			conn.inHead.Store(false)
--- a/internal/limit/door_test.go
+++ b/internal/limit/door_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -113,6 +114,34 @@
 	g.Expect(statusOf(t, reader)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 }
 
+// Guards against an aborted stream between nodes whose connection is marked to be reset, which would lose
+// the answers of other streams when it closes.
+func TestAbortedStreamLeavesItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	door := NewDoor(listener, DoorOptions{MaxConns: 1, HTTP2: true, Memory: NewMemory(1 << 20)})
+	lingered := false
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })}
+	door.Install(server)
+	request := httptest.NewRequest(http.MethodGet, "/", nil)
+	request = request.WithContext(ConnContext(request.Context(), lingerConn{set: &lingered}))
+	g.Expect(func() { server.Handler.ServeHTTP(httptest.NewRecorder(), request) }).To(Panic())
+	g.Expect(lingered).To(BeFalse())
+}
+
+// lingerConn records whether SetLinger was called.
+type lingerConn struct {
+	net.Conn
+	set *bool
+}
+
+func (c lingerConn) SetLinger(int) error {
+	*c.set = true
+	return nil
+}
+
 // Guards against heads over HTTP/2 that are missed or counted twice because a read ends anywhere in a
 // frame: an open head has the bytes of its frames, and none is open after its last frame.
 func TestFrameScanFindsOpenHeads(t *testing.T) {
