quota: an account that always sends gets the burst of each window

The limit of a window of 5 s is 60 requests; the account got 50, and refusals between the two fall below its limit.

Change: buckets grow by what a window allows. A new bucket grows by the rate only, after a pause, so that the credits of a home and of the process that replaces it stay within one window's. The request line of a refused request names its account.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -18,6 +18,9 @@
 	// tokens is the number of credits at the time filled.
 	tokens float64
 	filled time.Duration
+	// steady is the time from which the bucket grows at the full pace. Before it, credits of an
+	// earlier process or home may still count in the window.
+	steady time.Duration
 	// granted counts the credits by their end.
 	granted window
 	// promised is the latest time at which a refused caller was told to return.
@@ -28,23 +31,38 @@
 
 // newBucket returns the bucket of a node that has been a home since the given time.
 func newBucket(now, since time.Duration, limit Limit, homes int) *Bucket {
-	b := &Bucket{limit: limit, homes: homes, tokens: limit.initial(homes), filled: min(since, now), granted: newWindow(limit.Window)}
-	b.granted.first = int64((now - limit.Window) / b.granted.slot)
+	b := &Bucket{
+		limit: limit, homes: homes, tokens: limit.initial(homes), filled: since + limit.pause(),
+		steady: since + limit.Window, granted: newWindow(limit.Window),
+	}
 	b.advance(now)
 	return b
 }
 
-// rate returns the credits per second.
-func (b *Bucket) rate() float64 { return b.limit.Rate / float64(b.homes) }
+// pace returns the credits per second at a time.
+func (b *Bucket) pace(at time.Duration) float64 {
+	if at < b.steady {
+		return b.limit.Rate / float64(b.homes)
+	}
+	return b.limit.pace(b.homes)
+}
 
 func (b *Bucket) advance(now time.Duration) {
-	if now > b.filled {
-		b.tokens = min(b.tokens+b.rate()*(now-b.filled).Seconds(), b.limit.capacity(b.homes))
-		b.filled = now
+	if b.filled < b.steady && b.steady < now {
+		b.fill(b.steady)
 	}
+	b.fill(now)
 	b.granted.advance(now)
 }
 
+// fill adds the tokens of a time with the same pace.
+func (b *Bucket) fill(until time.Duration) {
+	if until > b.filled {
+		b.tokens = min(b.tokens+b.pace(b.filled)*(until-b.filled).Seconds(), b.limit.capacity(b.homes))
+		b.filled = until
+	}
+}
+
 // setLimit applies a changed limit. A lower one starts a new record of granted credits, because it
 // holds from now on.
 func (b *Bucket) setLimit(now time.Duration, limit Limit, homes int) {
@@ -89,7 +107,10 @@
 
 // untilCredit returns the time until the bucket has a credit.
 func (b *Bucket) untilCredit(now time.Duration) time.Duration {
-	wait := scale(time.Second, max(1-b.tokens, 0)/b.rate())
+	wait := max(b.filled-now, 0) + scale(time.Second, max(1-b.tokens, 0)/b.pace(now))
+	if b.tokens >= 1 {
+		wait = 0
+	}
 	if float64(b.granted.sum)+1 > b.limit.perWindow(b.homes)+rounding {
 		wait = max(wait, b.granted.untilFewer(now))
 	}
@@ -107,7 +128,7 @@
 // of all callers that were told to return earlier, and the time from one such caller to the next. It
 // promises the credits of some callers.
 func (b *Bucket) promise(now time.Duration, callers int) (first, interval time.Duration) {
-	interval = scale(time.Second, 1/b.rate())
+	interval = scale(time.Second, 1/b.pace(now))
 	at := now + b.untilCredit(now)
 	if b.promised > now {
 		at = max(at, b.promised+interval)
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// settleTime is the time after a change of the members in which other nodes learn of it. A new home
-// grants nothing for it, because an earlier one may still be asked.
+// settleTime is the time after a change of the members in which other nodes learn of it. The bucket of
+// a new home does not grow for it, because an earlier one may still be asked.
 const settleTime = time.Second
 
 // minAgain is the shortest time between two calls to a home that refuses.
@@ -23,7 +23,7 @@
 
 // NewHome returns the state of a process that starts now. random is a random number.
 func NewHome(now time.Duration, random uint32) *Home {
-	return &Home{since: now + settleTime, buckets: map[string]*Bucket{}, offset: random}
+	return &Home{since: now, buckets: map[string]*Bucket{}, offset: random}
 }
 
 // Ask answers the call of an entry. The node must be one of the given number of homes.
@@ -62,7 +62,7 @@
 // Retain drops the buckets of the accounts that the node is no home of any more after the members
 // have changed.
 func (h *Home) Retain(now time.Duration, isHome func(account string, limit Limit) bool) {
-	h.since = now + settleTime
+	h.since = now
 	for account, b := range h.buckets {
 		if !isHome(account, b.limit) {
 			delete(h.buckets, account)
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -14,44 +14,55 @@
 	slackShare = 0.25
 )
 
-// Limit bounds the requests of an account over all nodes.
+// Limit bounds the requests of an account over all nodes: in any window, at most those of the rate and
+// the burst, and a little more that covers what nodes cannot know of each other.
 type Limit struct {
 	// Rate is in requests per second, Burst in requests.
 	Rate, Burst float64
-	// Window is the time over which requests are counted. Slack is the number of requests that may
-	// run in a window beyond the rate and the burst.
+	// Window is the time over which requests are counted.
 	Window time.Duration
-	Slack  float64
+	// Over is the fraction, and Extra the number of requests, by which a window may exceed the rate
+	// and the burst.
+	Over, Extra float64
 }
 
-// NewLimit returns the limit of an account whose requests of one window may exceed the rate and the
-// burst by a fraction of over plus slack requests.
-func NewLimit(rate, burst float64, window time.Duration, over, slack float64) Limit {
-	return Limit{
-		Rate: rate, Burst: burst, Window: window,
-		Slack: over*(rate*window.Seconds()+burst) + slack,
-	}
-}
+// inWindow returns the requests that the rate and the burst allow in a window.
+func (l Limit) inWindow() float64 { return l.Rate*l.Window.Seconds() + l.Burst }
+
+// slack returns the requests by which a window may exceed the rate and the burst.
+func (l Limit) slack() float64 { return l.Over*l.inWindow() + l.Extra }
 
 // Homes returns the number of homes in a fleet with the given number of members. Each home must be
 // able to hold a whole credit.
 func (l Limit) Homes(members int) int {
-	return max(1, min(MaxHomes, members, int(l.Burst+slackShare*l.Slack)))
+	return max(1, min(MaxHomes, members, int(l.Burst+slackShare*l.slack())))
 }
 
 // perWindow returns the number of credits that one of the homes may grant in a window.
 func (l Limit) perWindow(homes int) float64 {
-	return (l.Rate*l.Window.Seconds() + l.Burst + slackShare*l.Slack) / float64(homes)
+	return (l.inWindow() + slackShare*l.slack()) / float64(homes)
+}
+
+// pace returns the credits per second of one of the homes. An account that always sends gets the
+// burst of each window besides the rate.
+func (l Limit) pace(homes int) float64 {
+	return l.inWindow() * (1 + slackShare*l.Over) / l.Window.Seconds() / float64(homes)
 }
 
 // capacity returns the number of credits that one of the homes can hold.
 func (l Limit) capacity(homes int) float64 {
-	return max((l.Burst+slackShare*l.Slack)/float64(homes), 1)
+	return max((l.Burst+slackShare*l.slack())/float64(homes), 1)
+}
+
+// pause returns the time for which a new bucket does not grow. With it, the credits of a home that
+// died and of the process that replaced it stay within one window's, whatever the burst is.
+func (l Limit) pause() time.Duration {
+	return min(max(settleTime, scale(time.Second, l.Burst/l.Rate)), l.Window)
 }
 
 // initial returns the number of credits that one of the homes has at the start of its process.
 func (l Limit) initial(homes int) float64 {
-	if slackShare*l.Slack >= float64(homes) {
+	if slackShare*l.slack() >= float64(homes) {
 		return 1
 	}
 	return 0
@@ -60,7 +71,7 @@
 // ownPart returns the number of requests in a window that the node at a rank of the order of
 // members may admit if it reaches no home.
 func (l Limit) ownPart(members, rank int) int {
-	total := int(slackShare * l.Slack)
+	total := int(slackShare * l.slack())
 	part := total / members
 	if rank < total%members {
 		part++
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -136,6 +136,7 @@
 	x.route = found
 	x.setDeadlines(r)
 	account, err := x.identify(r.Header)
+	x.request.account = account
 	if err != nil {
 		return x, err
 	}
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -120,7 +120,10 @@
 	if !ok || account.RatePerSecond <= 0 {
 		return quota.Limit{}, false
 	}
-	return quota.NewLimit(account.RatePerSecond, account.Burst, q.settings.QuotaWindow, q.settings.QuotaOver, q.settings.QuotaSlack), true
+	return quota.Limit{
+		Rate: account.RatePerSecond, Burst: account.Burst,
+		Window: q.settings.QuotaWindow, Over: q.settings.QuotaOver, Extra: q.settings.QuotaSlack,
+	}, true
 }
 
 // begin claims a credit for a request. It returns nil if the account has no limit.
