sidecar: the property test of limits draws the slack

The slack of 20 requests hid faults at small accounts. Over and slack are drawn now, down to none.

With the record of a window taken out of the bucket the test fails after 50 draws, with full buckets at the start after 264; a longer pause and the end of credits are guarded by the tests of internal/quota.

--- a/internal/sidecar/quotas_test.go
+++ b/internal/sidecar/quotas_test.go
@@ -27,9 +27,11 @@
 	t       testing.TB
 	metrics *telemetry.Metrics
 	rng     *rand.Rand
-	begun   time.Time
-	members map[string]Member
-	nodes   []*quotaNode
+	// over and slack are the bounds of the settings.
+	over, slack float64
+	begun       time.Time
+	members     map[string]Member
+	nodes       []*quotaNode
 	// lossRate is the fraction of datagrams that are lost, maxDelay their longest delay.
 	lossRate float64
 	maxDelay time.Duration
@@ -54,14 +56,14 @@
 
 const quotaAccount = "mill"
 
-func newQuotaFleet(t testing.TB, nodes int, rate, burst float64, seed uint64) *quotaFleet {
+func newQuotaFleet(t testing.TB, nodes int, rate, burst, over, slack float64, seed uint64) *quotaFleet {
 	t.Helper()
 	all, err := telemetry.NewForProcess(context.Background(), telemetry.Process{Name: "test", Log: io.Discard}, settings.Node{ID: "test"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &quotaFleet{
-		t: t, metrics: all.Metrics, rng: rand.New(rand.NewPCG(seed, 1)), begun: time.Now(),
+		t: t, over: over, slack: slack, metrics: all.Metrics, rng: rand.New(rand.NewPCG(seed, 1)), begun: time.Now(),
 		members: map[string]Member{}, maxDelay: 3 * time.Millisecond, cut: func(_, _ int) bool { return false },
 	}
 	for i := range nodes {
@@ -98,7 +100,7 @@
 		}
 		return nil
 	})
-	n.quotas = newQuotas(lifetime, Settings{Node: id, QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20},
+	n.quotas = newQuotas(lifetime, Settings{Node: id, QuotaWindow: 5 * time.Second, QuotaOver: f.over, QuotaSlack: f.slack},
 		n.control, n.calls, zap.NewNop(), f.metrics, f.now)
 }
 
@@ -183,6 +185,7 @@
 type quotaPlan struct {
 	nodes              int
 	rate, burst, press float64
+	over, slack        float64
 	unserved, loss     float64
 	delay              time.Duration
 	seed               uint64
@@ -204,6 +207,8 @@
 	p := quotaPlan{
 		nodes: rapid.IntRange(1, 8).Draw(rt, "nodes"), rate: rate,
 		burst:    rate * rapid.SampledFrom([]float64{0, 0.5, 1, 2}).Draw(rt, "burst"),
+		over:     rapid.SampledFrom([]float64{0, 0.1}).Draw(rt, "over"),
+		slack:    rapid.SampledFrom([]float64{0, 4, 20}).Draw(rt, "slack"),
 		press:    rapid.Float64Range(0.5, 6).Draw(rt, "press"),
 		unserved: rapid.SampledFrom([]float64{0, 0.2, 0.7}).Draw(rt, "not run"),
 		loss:     rapid.SampledFrom([]float64{0, 0, 0.05, 0.4}).Draw(rt, "loss"),
@@ -223,7 +228,7 @@
 
 // play returns an error if some window is over the limit.
 func (p quotaPlan) play(t *testing.T) error {
-	f := newQuotaFleet(t, p.nodes, p.rate, p.burst, p.seed)
+	f := newQuotaFleet(t, p.nodes, p.rate, p.burst, p.over, p.slack, p.seed)
 	defer f.stop()
 	f.lossRate, f.maxDelay = p.loss, p.delay
 	lowered, kills := quotaPlanLength, 0
@@ -246,7 +251,7 @@
 		time.AfterFunc(lowered+time.Duration(f.rng.Int64N(int64(spread))), func() { n.configure(2, p.rate/4, p.burst/4) })
 	}
 	f.load(quotaPlanLength, p.rate*p.press, p.unserved, true)
-	allowed := func(rate, burst float64) float64 { return (rate*5+burst)*1.1 + 20 }
+	allowed := func(rate, burst float64) float64 { return (rate*5+burst)*(1+p.over) + p.slack }
 	if got, most := f.mostInAWindow(0, 5*time.Second), allowed(p.rate, p.burst); float64(got) > most {
 		return fmt.Errorf("%d requests in a window, allowed %g", got, most)
 	}
@@ -322,7 +327,7 @@
 	for _, rate := range []float64{0.16, 1, 10, 100} {
 		t.Run(fmt.Sprint(rate), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newQuotaFleet(t, 20, rate, rate, 7)
+				f := newQuotaFleet(t, 20, rate, rate, 0.1, 20, 7)
 				defer f.stop()
 				time.Sleep(10 * time.Second)
 				NewWithT(t).Expect(f.load(time.Minute, rate/1.6, 0.3, rate >= 1)).To(BeEmpty())
@@ -334,7 +339,7 @@
 // Guards against an account that loses more than the part of its home while that is away.
 func TestALostHomeIsNoticedByNobodyWithinTwoThirds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newQuotaFleet(t, 20, 50, 50, 7)
+		f := newQuotaFleet(t, 20, 50, 50, 0.1, 20, 7)
 		defer f.stop()
 		home := f.nodes[0].quotas
 		time.Sleep(10 * time.Second)
@@ -353,7 +358,7 @@
 func TestRefusedCallersReturnOneByOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newQuotaFleet(t, 6, 10, 10, 7)
+		f := newQuotaFleet(t, 6, 10, 10, 0.1, 20, 7)
 		defer f.stop()
 		time.Sleep(10 * time.Second)
 		var told []time.Duration
@@ -385,7 +390,7 @@
 func TestANodeWithoutHomesBlamesItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newQuotaFleet(t, 20, 10, 10, 7)
+		f := newQuotaFleet(t, 20, 10, 10, 0.1, 20, 7)
 		defer f.stop()
 		f.cut = func(from, to int) bool { return from != to }
 		errs := f.load(4*time.Second, 10, 0, true)
