quota: restarted homes pause only as long as their slack asks

Change: the pause covers what the slack for restarts does not; the second in which others learn of a new home is waited only after a change of the members.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -29,10 +29,11 @@
 	calls time.Duration
 }
 
-// newBucket returns the bucket of a node that has been a home since the given time.
-func newBucket(now, since time.Duration, limit Limit, homes int) *Bucket {
+// newBucket returns the bucket of a node that has been a home since the given time. It does not grow
+// for the time settle at least.
+func newBucket(now, since, settle time.Duration, limit Limit, homes int) *Bucket {
 	b := &Bucket{
-		limit: limit, homes: homes, tokens: limit.initial(homes), filled: since + limit.pause(),
+		limit: limit, homes: homes, tokens: limit.initial(homes), filled: since + max(settle, limit.pause(homes)),
 		steady: since + limit.Window, granted: newWindow(limit.Window),
 	}
 	b.advance(now)
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -15,7 +15,9 @@
 // Home holds the buckets of the accounts that a node is a home of.
 type Home struct {
 	// since is the time from which the node counts as a home of accounts that have no bucket.
-	since   time.Duration
+	since time.Duration
+	// settle is the time for which their buckets do not grow.
+	settle  time.Duration
 	buckets map[string]*Bucket
 	// offset makes the slots of this process differ from those of an earlier one.
 	offset uint32
@@ -30,7 +32,7 @@
 func (h *Home) Ask(now time.Duration, account string, limit Limit, homes int, ask Ask) Reply {
 	b := h.buckets[account]
 	if b == nil {
-		b = newBucket(now, h.since, limit, homes)
+		b = newBucket(now, h.since, h.settle, limit, homes)
 		h.buckets[account] = b
 	}
 	b.setLimit(now, limit, homes)
@@ -62,7 +64,7 @@
 // Retain drops the buckets of the accounts that the node is no home of any more after the members
 // have changed.
 func (h *Home) Retain(now time.Duration, isHome func(account string, limit Limit) bool) {
-	h.since = now
+	h.since, h.settle = now, settleTime
 	for account, b := range h.buckets {
 		if !isHome(account, b.limit) {
 			delete(h.buckets, account)
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -54,10 +54,13 @@
 	return max((l.Burst+slackShare*l.slack())/float64(homes), 1)
 }
 
-// pause returns the time for which a new bucket does not grow. With it, the credits of a home that
-// died and of the process that replaced it stay within one window's, whatever the burst is.
-func (l Limit) pause() time.Duration {
-	return min(max(settleTime, scale(time.Second, l.Burst/l.Rate)), l.Window)
+// pause returns the time for which the bucket of a new process does not grow. The process before it
+// may have granted more than the burst and the rate until its end: the part of the burst that the pace
+// adds. What the slack for restarts does not cover, the pause does.
+func (l Limit) pause(homes int) time.Duration {
+	most := l.Burst * l.Rate * l.Window.Seconds() / l.inWindow()
+	covered := 2 * (slackShare*l.slack() - float64(homes)*l.initial(homes))
+	return min(scale(time.Second, max(most-covered, 0)/l.Rate), l.Window)
 }
 
 // initial returns the number of credits that one of the homes has at the start of its process.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -79,9 +79,9 @@
 func TestANewHomeStartsNearlyEmpty(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHome(0, 0)
-	g.Expect(h.Ask(settleTime, "a", usual, 3, Ask{Waiting: 10}).Granted).To(BeNumerically("<=", 1))
+	g.Expect(h.Ask(0, "a", usual, 3, Ask{Waiting: 10}).Granted).To(BeNumerically("<=", 1))
 	h.Retain(time.Minute, func(string, Limit) bool { return false })
-	g.Expect(h.Ask(time.Minute, "a", usual, 3, Ask{Waiting: 10}).Granted).To(BeNumerically("<=", 1))
+	g.Expect(h.Ask(time.Minute+settleTime, "a", usual, 3, Ask{Waiting: 10}).Granted).To(BeNumerically("<=", 1))
 	h.Retain(2*time.Minute, func(string, Limit) bool { return true })
 	g.Expect(h.Ask(2*time.Minute, "a", usual, 3, Ask{Waiting: 10}).Granted).To(BeNumerically(">", 1))
 }
@@ -102,3 +102,29 @@
 	}
 	g.Expect(admitted).To(Equal(int(usual.slack() / 4)))
 }
+
+// Guards against a home that dies in the worst moment and together with the process that replaces it
+// grants more than a window and its part of the slack allow.
+func TestADeathDoesNotRaiseTheSumOfAWindow(t *testing.T) {
+	for _, limit := range []Limit{
+		usual,
+		{Rate: 100, Burst: 100, Window: 5 * time.Second, Over: 0.1, Extra: 20},
+		{Rate: 100, Burst: 500, Window: 5 * time.Second, Over: 0.1},
+		{Rate: 30, Burst: 30, Window: 5 * time.Second},
+	} {
+		most := limit.perWindow(1) + 2*slackShare*limit.slack()
+		for death := time.Duration(0); death <= limit.Window; death += 100 * time.Millisecond {
+			h, granted := NewHome(0, 0), 0
+			h.Ask(time.Minute, "a", limit, 1, Ask{})
+			for at := time.Duration(0); at <= limit.Window; at += 10 * time.Millisecond {
+				if at == death {
+					h = NewHome(2*time.Minute+at, 0)
+				}
+				granted += h.Ask(2*time.Minute+at, "a", limit, 1, Ask{Waiting: 100}).Granted
+			}
+			if float64(granted) > most {
+				t.Errorf("%+v, death after %v: %d credits in a window, allowed %g", limit, death, granted, most)
+			}
+		}
+	}
+}
