--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -55,12 +55,12 @@
 }
 
 // pause returns the time for which the bucket of a new process does not grow. The process before it
-// may have granted more than the burst and the rate until its end: the part of the burst that the pace
-// adds. What the slack for restarts does not cover, the pause does.
+// may have granted the credits of a whole window in less than the window. What the next one grants in
+// the rest of it has to be covered by the slack for restarts.
 func (l Limit) pause(homes int) time.Duration {
-	most := l.Burst * l.Rate * l.Window.Seconds() / l.inWindow()
+	rest := scale(l.Window, 1-l.Rate/l.pace(1))
 	covered := 2 * (slackShare*l.slack() - float64(homes)*l.initial(homes))
-	return min(scale(time.Second, max(most-covered, 0)/l.Rate), l.Window)
+	return min(max(rest-scale(time.Second, covered/l.Rate), 0), l.Window)
 }
 
 // initial returns the number of credits that one of the homes has at the start of its process.
