sidecar: the limits of accounts in files of one job each, and a test fixture without races

The entry, the home and the claim of a request stand in files of their own; no change of behaviour. The fixture of the property test guards its state (go test -race found its random source shared).

--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -4,14 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/tarragonford/tarragonford/internal/beacon"
-	"github.com/tarragonford/tarragonford/internal/codes"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/quota"
 	"github.com/tarragonford/tarragonford/internal/telemetry"
@@ -21,14 +19,6 @@
 const callQuota beacon.CallKind = 2
 
 const (
-	// slowReply is the time after which another home is asked: several round trips between data
-	// centres.
-	slowReply = 60 * time.Millisecond
-	// quotaDeadline is how long a request waits for a decision on its account.
-	quotaDeadline = 250 * time.Millisecond
-	// shortRefusal is the time up to which a request waits for the credit that it is promised instead
-	// of being refused.
-	shortRefusal = 100 * time.Millisecond
 	// endedCreditsDelay is the time after the end of credits at which they are returned.
 	endedCreditsDelay = 10 * time.Millisecond
 	// defaultQuotaWindow is used if the settings name no window.
@@ -56,14 +46,6 @@
 	members  *quotaMembers
 }
 
-// quotaMembers are the members as the order of homes needs them.
-type quotaMembers struct {
-	index *MemberIndex
-	self  quota.Node
-	nodes []quota.Node
-	addrs map[quota.Node]netip.AddrPort
-}
-
 // accountQuota is the state of an account at its entry node.
 type accountQuota struct {
 	name    string
@@ -76,31 +58,6 @@
 	returning bool
 }
 
-// quotaClaim is the claim of a request to a credit of its account.
-type quotaClaim struct {
-	quotas  *quotas
-	account *accountQuota
-	// decided receives the decision.
-	decided chan quotaDecision
-	// admitted is set once the request may run.
-	admitted bool
-	credit   quota.Credit
-	// ownPart is set if the request was admitted without a home.
-	ownPart bool
-	// ended is set once the request waits no more.
-	ended bool
-}
-
-// quotaDecision tells whether a request was admitted.
-type quotaDecision struct {
-	admitted bool
-	credit   quota.Credit
-	// after is the time after which a refused caller may return; overLimit tells that all homes
-	// refused.
-	after     time.Duration
-	overLimit bool
-}
-
 func newQuotas(lifetime context.Context, s Settings, control *ControlLoop, calls *calls, log *zap.Logger, metrics *telemetry.Metrics, clock func() time.Duration) *quotas {
 	now := clock()
 	if s.QuotaWindow <= 0 {
@@ -155,54 +112,6 @@
 	return claim
 }
 
-// updateMembers rebuilds the list of members if it has changed.
-func (q *quotas) updateMembers(now time.Duration, view *View) {
-	if q.members.index == view.MemberIndex {
-		return
-	}
-	m := &quotaMembers{index: view.MemberIndex, self: quota.HashNode(q.settings.Node), addrs: make(map[quota.Node]netip.AddrPort, len(view.Members))}
-	for _, member := range view.Members {
-		addr, err := netip.ParseAddrPort(member.Beacon)
-		if err != nil {
-			// The change of the members logs invalid addresses.
-			continue
-		}
-		node := quota.HashNode(member.ID)
-		m.nodes = append(m.nodes, node)
-		m.addrs[node] = addr
-	}
-	slices.Sort(m.nodes)
-	first := q.members.index == nil
-	changed := !slices.Equal(m.nodes, q.members.nodes)
-	q.members = m
-	if changed && !first {
-		q.home.Retain(now, func(account string, limit quota.Limit) bool { return m.isHome(account, limit) })
-	}
-}
-
-// homes returns the homes of an account in their order.
-func (m *quotaMembers) homes(account string, limit quota.Limit) []quota.Node {
-	return quota.Homes(account, m.nodes, limit.Homes(len(m.nodes)))
-}
-
-// homesFor returns the homes of an account in the order in which this node asks them. Entries
-// prefer different homes, so that all of them are used alike.
-func (m *quotaMembers) homesFor(account string, limit quota.Limit) []quota.Node {
-	homes := m.homes(account, limit)
-	if len(homes) == 0 {
-		return nil
-	}
-	if own := slices.Index(homes, m.self); own >= 0 {
-		return append(slices.Clone(homes[own:]), homes[:own]...)
-	}
-	first := int(uint64(m.self) % uint64(len(homes)))
-	return append(slices.Clone(homes[first:]), homes[:first]...)
-}
-
-func (m *quotaMembers) isHome(account string, limit quota.Limit) bool {
-	return slices.Contains(m.homes(account, limit), m.self)
-}
-
 // pump serves the waiting requests of an account with the credits at hand and asks for more. If no
 // home can be asked, it decides the requests.
 func (q *quotas) pump(now time.Duration, a *accountQuota) {
@@ -286,40 +195,6 @@
 	return "granted"
 }
 
-// answer processes the call of another node.
-func (q *quotas) answer(_ time.Time, _ beacon.NodeHash, payload []byte) []byte {
-	account, ask, back, ok := quota.DecodeCall(payload)
-	if !ok {
-		q.log.Warn("invalid call about an account", zap.Int("bytes", len(payload)))
-		return nil
-	}
-	now := q.clock()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if ask != nil {
-		return q.answerAsk(now, account, *ask).Encode()
-	}
-	q.home.Return(now, account, *back)
-	return nil
-}
-
-// answerAsk decides as a home of an account. A node that has no limit for it, or is no home by its
-// own list of members, says so.
-func (q *quotas) answerAsk(now time.Duration, account string, ask quota.Ask) quota.Reply {
-	view := q.control.View()
-	if view.Config == nil || !view.MembersKnown() {
-		return quota.Reply{}
-	}
-	q.updateMembers(now, view)
-	limit, limited := q.limitOf(view.Config, account)
-	if !limited || !q.members.isHome(account, limit) {
-		return quota.Reply{}
-	}
-	reply := q.home.Ask(now, account, limit, limit.Homes(len(q.members.nodes)), ask)
-	q.metrics.QuotaCredits.Add(int64(reply.Granted))
-	return reply
-}
-
 // returnEnded returns the credits of an account whose end has passed to its homes.
 func (q *quotas) returnEnded(now time.Duration, a *accountQuota) {
 	a.purse.Ended(now, func(home quota.Node, r quota.Return) { q.sendReturn(now, a, home, r) })
@@ -354,119 +229,3 @@
 		}
 	}
 }
-
-// wait returns once the request may run, or the error with which it is refused and the time after
-// which its caller may return. c may be nil.
-func (c *quotaClaim) wait(ctx context.Context, limit time.Duration) (after time.Duration, err error) {
-	if c == nil {
-		return 0, nil
-	}
-	deadline := time.NewTimer(min(quotaDeadline, limit))
-	defer deadline.Stop()
-	slow := time.NewTimer(slowReply)
-	defer slow.Stop()
-	mayWait := true
-	for {
-		select {
-		case d := <-c.decided:
-			if mayWait && d.overLimit && d.after <= shortRefusal {
-				mayWait = false
-				time.AfterFunc(d.after, c.again)
-				continue
-			}
-			return c.conclude(d)
-		case <-slow.C:
-			c.quotas.replySlow(c.account)
-			slow.Reset(slowReply)
-		case <-deadline.C:
-			return c.conclude(c.withdraw())
-		case <-ctx.Done():
-			return 0, codes.AccountUndecided.Wrap(ctx.Err(), "the caller left before a home of account %s replied", c.account.name)
-		}
-	}
-}
-
-// again lets a refused request wait once more.
-func (c *quotaClaim) again() {
-	now := c.quotas.clock()
-	c.quotas.mu.Lock()
-	defer c.quotas.mu.Unlock()
-	if !c.ended {
-		c.account.waiting = append(c.account.waiting, c)
-		c.quotas.pump(now, c.account)
-	}
-}
-
-// replySlow lets the next home of an account be asked.
-func (q *quotas) replySlow(a *accountQuota) {
-	now := q.clock()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	a.purse.MarkSlow(now, slowReply)
-	q.pump(now, a)
-}
-
-// withdraw ends the wait of a request and returns the decision, if there is one.
-func (c *quotaClaim) withdraw() quotaDecision {
-	c.quotas.mu.Lock()
-	defer c.quotas.mu.Unlock()
-	c.ended = true
-	c.account.waiting = slices.DeleteFunc(c.account.waiting, func(other *quotaClaim) bool { return other == c })
-	select {
-	case d := <-c.decided:
-		return d
-	default:
-		return quotaDecision{}
-	}
-}
-
-// conclude applies the decision on a request. If the account may be below its limit, the node admits
-// the request on its own part or refuses it for its own fault.
-func (c *quotaClaim) conclude(d quotaDecision) (after time.Duration, err error) {
-	q, a := c.quotas, c.account
-	if d.admitted {
-		c.admitted, c.credit = true, d.credit
-		return 0, nil
-	}
-	if d.overLimit {
-		q.metrics.QuotaRefused.Inc("over-limit")
-		return d.after, codes.AccountLimit.New("account %s has used its %g requests/s and its burst of %g", a.name, a.limit.Rate, a.limit.Burst)
-	}
-	now := q.clock()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if a.part.Admit(now, q.started, a.name, a.limit, a.members.nodes, a.members.self) {
-		c.admitted, c.ownPart = true, true
-		q.metrics.QuotaOwnPart.Inc()
-		q.log.Info("account admitted on own part", zap.String("account", a.name))
-		return 0, nil
-	}
-	q.metrics.QuotaRefused.Inc("undecided")
-	return max(d.after, minRetryAfter), codes.AccountUndecided.New("some home of account %s does not reply, and the others have no credit", a.name)
-}
-
-// giveBack returns the credit of a request that did not run. c may be nil.
-func (c *quotaClaim) giveBack() {
-	if c == nil {
-		return
-	}
-	if d := c.withdraw(); d.admitted {
-		c.admitted, c.credit = true, d.credit
-	}
-	if !c.admitted {
-		return
-	}
-	c.admitted = false
-	q, a := c.quotas, c.account
-	now := q.clock()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	switch {
-	case c.ownPart:
-		a.part.GiveBack()
-	case a.purse.GiveBack(now, c.credit):
-		q.pump(now, a)
-	default:
-		q.sendReturn(now, a, c.credit.Home, quota.Return{Credits: 1, Slot: c.credit.Slot})
-	}
-}
--- a/internal/sidecar/quotas_test.go
+++ b/internal/sidecar/quotas_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,11 +27,14 @@
 type quotaFleet struct {
 	t       testing.TB
 	metrics *telemetry.Metrics
-	rng     *rand.Rand
+	begun   time.Time
+	members map[string]Member
+
+	// mu guards the fields below and those of the nodes.
+	mu  sync.Mutex
+	rng *rand.Rand
 	// over and slack are the bounds of the settings.
 	over, slack float64
-	begun       time.Time
-	members     map[string]Member
 	nodes       []*quotaNode
 	// lossRate is the fraction of datagrams that are lost, maxDelay their longest delay.
 	lossRate float64
@@ -88,6 +92,8 @@
 
 // start replaces the process of a node.
 func (f *quotaFleet) start(n *quotaNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if n.end != nil {
 		n.end()
 	}
@@ -104,18 +110,28 @@
 		n.control, n.calls, zap.NewNop(), f.metrics, f.now)
 }
 
+// process returns the process of a node, and the end of the freeze of its instance.
+func (f *quotaFleet) process(n *quotaNode) (*calls, *quotas, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return n.calls, n.quotas, n.frozenUntil
+}
+
 func (f *quotaFleet) now() time.Duration { return time.Hour + time.Since(f.begun) }
 
-// deliver passes a datagram on, late, more than once, or not at all.
+// deliver passes a datagram on, late or not at all.
 func (f *quotaFleet) deliver(from, to int, data []byte) {
-	if f.cut(from, to) || f.rng.Float64() < f.lossRate {
-		return
-	}
 	n := f.nodes[to]
-	process := n.calls
+	process, _, frozenUntil := f.process(n)
+	f.mu.Lock()
+	lost := f.cut(from, to) || f.rng.Float64() < f.lossRate
 	delay := time.Duration(f.rng.Int64N(int64(f.maxDelay)))
-	time.AfterFunc(max(delay, time.Until(n.frozenUntil)), func() {
-		if n.calls == process {
+	f.mu.Unlock()
+	if lost {
+		return
+	}
+	time.AfterFunc(max(delay, time.Until(frozenUntil)), func() {
+		if now, _, _ := f.process(n); now == process {
 			process.receive(time.Now(), data, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(from + 1)}), 90))
 		}
 	})
@@ -125,8 +141,10 @@
 // The result is the error with which it is refused.
 func (f *quotaFleet) request(n *quotaNode, ran time.Duration) error {
 	sent := f.now()
-	time.Sleep(time.Until(n.frozenUntil))
-	claim := n.quotas.begin(n.control.View(), AccountName{InUse: true, Name: quotaAccount})
+	_, _, frozenUntil := f.process(n)
+	time.Sleep(time.Until(frozenUntil))
+	_, quotas, _ := f.process(n)
+	claim := quotas.begin(n.control.View(), AccountName{InUse: true, Name: quotaAccount})
 	_, err := claim.wait(context.Background(), time.Minute)
 	if err != nil {
 		claim.giveBack()
@@ -137,6 +155,8 @@
 		claim.giveBack()
 		return nil
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.runs = append(f.runs, quotaRun{sent, f.now()})
 	return nil
 }
@@ -144,6 +164,8 @@
 // mostInAWindow returns the largest number of requests that were both sent and run in a window that
 // begins at the given time or later.
 func (f *quotaFleet) mostInAWindow(from time.Duration, length time.Duration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	most := 0
 	for _, first := range f.runs {
 		if first.sent < from {
@@ -282,11 +304,17 @@
 	case "kill":
 		each(f.start)
 	case "freeze":
-		each(func(n *quotaNode) { n.frozenUntil = time.Now().Add(failure.lasts) })
+		each(func(n *quotaNode) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			n.frozenUntil = time.Now().Add(failure.lasts)
+		})
 	}
 }
 
 func (f *quotaFleet) cutDuring(at, lasts time.Duration, cut func(from, to int) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	before := f.cut
 	from := time.Now().Add(at)
 	f.cut = func(a, b int) bool {
@@ -300,24 +328,30 @@
 func (f *quotaFleet) load(length time.Duration, perSecond, unserved float64, random bool) []error {
 	var refused []error
 	for end := time.Now().Add(length); time.Now().Before(end); {
+		f.mu.Lock()
 		gap := 0.5 + f.rng.Float64()
 		if random {
 			gap = f.rng.ExpFloat64()
 		}
-		time.Sleep(time.Duration(gap / perSecond * float64(time.Second)))
 		n := f.nodes[f.rng.IntN(len(f.nodes))]
 		ran := time.Duration(f.rng.Int64N(int64(2 * time.Second)))
 		if f.rng.Float64() < unserved {
 			ran = -ran - 1
 		}
+		f.mu.Unlock()
+		time.Sleep(time.Duration(gap / perSecond * float64(time.Second)))
 		go func() {
 			if err := f.request(n, ran); err != nil {
+				f.mu.Lock()
 				refused = append(refused, err)
+				f.mu.Unlock()
 			}
 		}()
 	}
 	// The last requests may still run.
 	time.Sleep(10 * time.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return refused
 }
 
@@ -346,7 +380,7 @@
 		f.request(f.nodes[0], 0)
 		lost := home.members.homes(quotaAccount, home.accounts[quotaAccount].limit)[1]
 		number := int(home.members.addrs[lost].Addr().As4()[3]) - 1
-		f.cut = func(from, to int) bool { return from != to && (from == number || to == number) }
+		f.cutDuring(0, time.Hour, func(from, to int) bool { return from != to && (from == number || to == number) })
 		refused := f.load(20*time.Second, 50/1.8, 0, true)
 		// Callers at the node that is cut off reach one home, itself.
 		NewWithT(t).Expect(len(refused)).To(BeNumerically("<", 20*50/1.8/20))
@@ -370,11 +404,15 @@
 				after, err := claim.wait(context.Background(), time.Minute)
 				if err != nil {
 					g.Expect(codes.FromError(err).Code.Number).To(Equal(codes.AccountLimit.Number))
+					f.mu.Lock()
 					told = append(told, f.now()+after)
+					f.mu.Unlock()
 				}
 			}()
 		}
 		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		g.Expect(len(told)).To(BeNumerically(">", 40))
 		slices.Sort(told)
 		busiest := 0
@@ -392,7 +430,7 @@
 		g := NewWithT(t)
 		f := newQuotaFleet(t, 20, 10, 10, 0.1, 20, 7)
 		defer f.stop()
-		f.cut = func(from, to int) bool { return from != to }
+		f.cutDuring(0, time.Hour, func(from, to int) bool { return from != to })
 		errs := f.load(4*time.Second, 10, 0, true)
 		g.Expect(errs).NotTo(BeEmpty())
 		for _, err := range errs {
