--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -26,20 +26,23 @@
 	calls time.Duration
 }
 
-// newBucket returns the bucket of a node that has been a home since the given time.
-func newBucket(now, since time.Duration, limit Limit, homes int) *Bucket {
-	b := &Bucket{limit: limit, homes: homes, tokens: limit.initial(homes), filled: min(since, now), granted: newWindow(limit.Window)}
-	b.granted.first = int64((now - limit.Window) / b.granted.slot)
+// newBucket returns the bucket of a node that has been a home since the given time. It does not grow
+// for the time settle.
+func newBucket(now, since, settle time.Duration, limit Limit, homes int) *Bucket {
+	b := &Bucket{
+		limit: limit, homes: homes, tokens: limit.initial(homes),
+		filled: since + settle, granted: newWindow(limit.Window),
+	}
 	b.advance(now)
 	return b
 }
 
-// rate returns the credits per second.
-func (b *Bucket) rate() float64 { return b.limit.Rate / float64(b.homes) }
+// pace returns the credits per second.
+func (b *Bucket) pace() float64 { return b.limit.pace(b.homes) }
 
 func (b *Bucket) advance(now time.Duration) {
 	if now > b.filled {
-		b.tokens = min(b.tokens+b.rate()*(now-b.filled).Seconds(), b.limit.capacity(b.homes))
+		b.tokens = min(b.tokens+b.pace()*(now-b.filled).Seconds(), b.limit.capacity(b.homes))
 		b.filled = now
 	}
 	b.granted.advance(now)
@@ -89,7 +92,10 @@
 
 // untilCredit returns the time until the bucket has a credit.
 func (b *Bucket) untilCredit(now time.Duration) time.Duration {
-	wait := scale(time.Second, max(1-b.tokens, 0)/b.rate())
+	wait := max(b.filled-now, 0) + scale(time.Second, max(1-b.tokens, 0)/b.pace())
+	if b.tokens >= 1 {
+		wait = 0
+	}
 	if float64(b.granted.sum)+1 > b.limit.perWindow(b.homes)+rounding {
 		wait = max(wait, b.granted.untilFewer(now))
 	}
@@ -107,7 +113,7 @@
 // of all callers that were told to return earlier, and the time from one such caller to the next. It
 // promises the credits of some callers.
 func (b *Bucket) promise(now time.Duration, callers int) (first, interval time.Duration) {
-	interval = scale(time.Second, 1/b.rate())
+	interval = scale(time.Second, 1/b.pace())
 	at := now + b.untilCredit(now)
 	if b.promised > now {
 		at = max(at, b.promised+interval)
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// settleTime is the time after a change of the members in which other nodes learn of it. A new home
-// grants nothing for it, because an earlier one may still be asked.
+// settleTime is the time after a change of the members in which other nodes learn of it. The bucket of
+// a new home does not grow for it, because an earlier one may still be asked.
 const settleTime = time.Second
 
 // minAgain is the shortest time between two calls to a home that refuses.
@@ -15,7 +15,9 @@
 // Home holds the buckets of the accounts that a node is a home of.
 type Home struct {
 	// since is the time from which the node counts as a home of accounts that have no bucket.
-	since   time.Duration
+	since time.Duration
+	// settle is the time for which their buckets do not grow.
+	settle  time.Duration
 	buckets map[string]*Bucket
 	// offset makes the slots of this process differ from those of an earlier one.
 	offset uint32
@@ -23,14 +25,14 @@
 
 // NewHome returns the state of a process that starts now. random is a random number.
 func NewHome(now time.Duration, random uint32) *Home {
-	return &Home{since: now + settleTime, buckets: map[string]*Bucket{}, offset: random}
+	return &Home{since: now, buckets: map[string]*Bucket{}, offset: random}
 }
 
 // Ask answers the call of an entry. The node must be one of the given number of homes.
 func (h *Home) Ask(now time.Duration, account string, limit Limit, homes int, ask Ask) Reply {
 	b := h.buckets[account]
 	if b == nil {
-		b = newBucket(now, h.since, limit, homes)
+		b = newBucket(now, h.since, h.settle, limit, homes)
 		h.buckets[account] = b
 	}
 	b.setLimit(now, limit, homes)
@@ -62,7 +64,7 @@
 // Retain drops the buckets of the accounts that the node is no home of any more after the members
 // have changed.
 func (h *Home) Retain(now time.Duration, isHome func(account string, limit Limit) bool) {
-	h.since = now + settleTime
+	h.since, h.settle = now, settleTime
 	for account, b := range h.buckets {
 		if !isHome(account, b.limit) {
 			delete(h.buckets, account)
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -146,6 +146,7 @@
 	}
 	x.setDeadlines(r)
 	account, err := x.identify(r.Header)
+	x.request.account = account
 	if err != nil {
 		return x, err
 	}
--- a/internal/sidecar/quotas_test.go
+++ b/internal/sidecar/quotas_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,10 +27,15 @@
 type quotaFleet struct {
 	t       testing.TB
 	metrics *telemetry.Metrics
-	rng     *rand.Rand
 	begun   time.Time
 	members map[string]Member
-	nodes   []*quotaNode
+
+	// mu guards the fields below and those of the nodes.
+	mu  sync.Mutex
+	rng *rand.Rand
+	// over and slack are the bounds of the settings.
+	over, slack float64
+	nodes       []*quotaNode
 	// lossRate is the fraction of datagrams that are lost, maxDelay their longest delay.
 	lossRate float64
 	maxDelay time.Duration
@@ -54,14 +60,14 @@
 
 const quotaAccount = "mill"
 
-func newQuotaFleet(t testing.TB, nodes int, rate, burst float64, seed uint64) *quotaFleet {
+func newQuotaFleet(t testing.TB, nodes int, rate, burst, over, slack float64, seed uint64) *quotaFleet {
 	t.Helper()
 	all, err := telemetry.NewForProcess(context.Background(), telemetry.Process{Name: "test", Log: io.Discard}, settings.Node{ID: "test"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &quotaFleet{
-		t: t, metrics: all.Metrics, rng: rand.New(rand.NewPCG(seed, 1)), begun: time.Now(),
+		t: t, over: over, slack: slack, metrics: all.Metrics, rng: rand.New(rand.NewPCG(seed, 1)), begun: time.Now(),
 		members: map[string]Member{}, maxDelay: 3 * time.Millisecond, cut: func(_, _ int) bool { return false },
 	}
 	for i := range nodes {
@@ -86,6 +92,8 @@
 
 // start replaces the process of a node.
 func (f *quotaFleet) start(n *quotaNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if n.end != nil {
 		n.end()
 	}
@@ -98,22 +106,32 @@
 		}
 		return nil
 	})
-	n.quotas = newQuotas(lifetime, Settings{Node: id, QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20},
+	n.quotas = newQuotas(lifetime, Settings{Node: id, QuotaWindow: 5 * time.Second, QuotaOver: f.over, QuotaSlack: f.slack},
 		n.control, n.calls, zap.NewNop(), f.metrics, f.now)
 }
 
+// process returns the process of a node, and the end of the freeze of its instance.
+func (f *quotaFleet) process(n *quotaNode) (*calls, *quotas, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return n.calls, n.quotas, n.frozenUntil
+}
+
 func (f *quotaFleet) now() time.Duration { return time.Hour + time.Since(f.begun) }
 
-// deliver passes a datagram on, late, more than once, or not at all.
+// deliver passes a datagram on, late or not at all.
 func (f *quotaFleet) deliver(from, to int, data []byte) {
-	if f.cut(from, to) || f.rng.Float64() < f.lossRate {
-		return
-	}
 	n := f.nodes[to]
-	process := n.calls
+	process, _, frozenUntil := f.process(n)
+	f.mu.Lock()
+	lost := f.cut(from, to) || f.rng.Float64() < f.lossRate
 	delay := time.Duration(f.rng.Int64N(int64(f.maxDelay)))
-	time.AfterFunc(max(delay, time.Until(n.frozenUntil)), func() {
-		if n.calls == process {
+	f.mu.Unlock()
+	if lost {
+		return
+	}
+	time.AfterFunc(max(delay, time.Until(frozenUntil)), func() {
+		if now, _, _ := f.process(n); now == process {
 			process.receive(time.Now(), data, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(from + 1)}), 90))
 		}
 	})
@@ -123,8 +141,10 @@
 // The result is the error with which it is refused.
 func (f *quotaFleet) request(n *quotaNode, ran time.Duration) error {
 	sent := f.now()
-	time.Sleep(time.Until(n.frozenUntil))
-	claim := n.quotas.begin(n.control.View(), AccountName{InUse: true, Name: quotaAccount})
+	_, _, frozenUntil := f.process(n)
+	time.Sleep(time.Until(frozenUntil))
+	_, quotas, _ := f.process(n)
+	claim := quotas.begin(n.control.View(), AccountName{InUse: true, Name: quotaAccount})
 	_, err := claim.wait(context.Background(), time.Minute)
 	if err != nil {
 		claim.giveBack()
@@ -135,6 +155,8 @@
 		claim.giveBack()
 		return nil
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.runs = append(f.runs, quotaRun{sent, f.now()})
 	return nil
 }
@@ -142,6 +164,8 @@
 // mostInAWindow returns the largest number of requests that were both sent and run in a window that
 // begins at the given time or later.
 func (f *quotaFleet) mostInAWindow(from time.Duration, length time.Duration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	most := 0
 	for _, first := range f.runs {
 		if first.sent < from {
@@ -183,6 +207,7 @@
 type quotaPlan struct {
 	nodes              int
 	rate, burst, press float64
+	over, slack        float64
 	unserved, loss     float64
 	delay              time.Duration
 	seed               uint64
@@ -204,6 +229,8 @@
 	p := quotaPlan{
 		nodes: rapid.IntRange(1, 8).Draw(rt, "nodes"), rate: rate,
 		burst:    rate * rapid.SampledFrom([]float64{0, 0.5, 1, 2}).Draw(rt, "burst"),
+		over:     rapid.SampledFrom([]float64{0, 0.1}).Draw(rt, "over"),
+		slack:    rapid.SampledFrom([]float64{0, 4, 20}).Draw(rt, "slack"),
 		press:    rapid.Float64Range(0.5, 6).Draw(rt, "press"),
 		unserved: rapid.SampledFrom([]float64{0, 0.2, 0.7}).Draw(rt, "not run"),
 		loss:     rapid.SampledFrom([]float64{0, 0, 0.05, 0.4}).Draw(rt, "loss"),
@@ -223,7 +250,7 @@
 
 // play returns an error if some window is over the limit.
 func (p quotaPlan) play(t *testing.T) error {
-	f := newQuotaFleet(t, p.nodes, p.rate, p.burst, p.seed)
+	f := newQuotaFleet(t, p.nodes, p.rate, p.burst, p.over, p.slack, p.seed)
 	defer f.stop()
 	f.lossRate, f.maxDelay = p.loss, p.delay
 	lowered, kills := quotaPlanLength, 0
@@ -246,7 +273,7 @@
 		time.AfterFunc(lowered+time.Duration(f.rng.Int64N(int64(spread))), func() { n.configure(2, p.rate/4, p.burst/4) })
 	}
 	f.load(quotaPlanLength, p.rate*p.press, p.unserved, true)
-	allowed := func(rate, burst float64) float64 { return (rate*5+burst)*1.1 + 20 }
+	allowed := func(rate, burst float64) float64 { return (rate*5+burst)*(1+p.over) + p.slack }
 	if got, most := f.mostInAWindow(0, 5*time.Second), allowed(p.rate, p.burst); float64(got) > most {
 		return fmt.Errorf("%d requests in a window, allowed %g", got, most)
 	}
@@ -277,11 +304,17 @@
 	case "kill":
 		each(f.start)
 	case "freeze":
-		each(func(n *quotaNode) { n.frozenUntil = time.Now().Add(failure.lasts) })
+		each(func(n *quotaNode) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			n.frozenUntil = time.Now().Add(failure.lasts)
+		})
 	}
 }
 
 func (f *quotaFleet) cutDuring(at, lasts time.Duration, cut func(from, to int) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	before := f.cut
 	from := time.Now().Add(at)
 	f.cut = func(a, b int) bool {
@@ -295,24 +328,30 @@
 func (f *quotaFleet) load(length time.Duration, perSecond, unserved float64, random bool) []error {
 	var refused []error
 	for end := time.Now().Add(length); time.Now().Before(end); {
+		f.mu.Lock()
 		gap := 0.5 + f.rng.Float64()
 		if random {
 			gap = f.rng.ExpFloat64()
 		}
-		time.Sleep(time.Duration(gap / perSecond * float64(time.Second)))
 		n := f.nodes[f.rng.IntN(len(f.nodes))]
 		ran := time.Duration(f.rng.Int64N(int64(2 * time.Second)))
 		if f.rng.Float64() < unserved {
 			ran = -ran - 1
 		}
+		f.mu.Unlock()
+		time.Sleep(time.Duration(gap / perSecond * float64(time.Second)))
 		go func() {
 			if err := f.request(n, ran); err != nil {
+				f.mu.Lock()
 				refused = append(refused, err)
+				f.mu.Unlock()
 			}
 		}()
 	}
 	// The last requests may still run.
 	time.Sleep(10 * time.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return refused
 }
 
@@ -322,7 +361,7 @@
 	for _, rate := range []float64{0.16, 1, 10, 100} {
 		t.Run(fmt.Sprint(rate), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newQuotaFleet(t, 20, rate, rate, 7)
+				f := newQuotaFleet(t, 20, rate, rate, 0.1, 20, 7)
 				defer f.stop()
 				time.Sleep(10 * time.Second)
 				NewWithT(t).Expect(f.load(time.Minute, rate/1.6, 0.3, rate >= 1)).To(BeEmpty())
@@ -334,14 +373,14 @@
 // Guards against an account that loses more than the part of its home while that is away.
 func TestALostHomeIsNoticedByNobodyWithinTwoThirds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newQuotaFleet(t, 20, 50, 50, 7)
+		f := newQuotaFleet(t, 20, 50, 50, 0.1, 20, 7)
 		defer f.stop()
 		home := f.nodes[0].quotas
 		time.Sleep(10 * time.Second)
 		f.request(f.nodes[0], 0)
 		lost := home.members.homes(quotaAccount, home.accounts[quotaAccount].limit)[1]
 		number := int(home.members.addrs[lost].Addr().As4()[3]) - 1
-		f.cut = func(from, to int) bool { return from != to && (from == number || to == number) }
+		f.cutDuring(0, time.Hour, func(from, to int) bool { return from != to && (from == number || to == number) })
 		refused := f.load(20*time.Second, 50/1.8, 0, true)
 		// Callers at the node that is cut off reach one home, itself.
 		NewWithT(t).Expect(len(refused)).To(BeNumerically("<", 20*50/1.8/20))
@@ -353,7 +392,7 @@
 func TestRefusedCallersReturnOneByOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newQuotaFleet(t, 6, 10, 10, 7)
+		f := newQuotaFleet(t, 6, 10, 10, 0.1, 20, 7)
 		defer f.stop()
 		time.Sleep(10 * time.Second)
 		var told []time.Duration
@@ -365,11 +404,15 @@
 				after, err := claim.wait(context.Background(), time.Minute)
 				if err != nil {
 					g.Expect(codes.FromError(err).Code.Number).To(Equal(codes.AccountLimit.Number))
+					f.mu.Lock()
 					told = append(told, f.now()+after)
+					f.mu.Unlock()
 				}
 			}()
 		}
 		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		g.Expect(len(told)).To(BeNumerically(">", 40))
 		slices.Sort(told)
 		busiest := 0
@@ -385,9 +428,9 @@
 func TestANodeWithoutHomesBlamesItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newQuotaFleet(t, 20, 10, 10, 7)
+		f := newQuotaFleet(t, 20, 10, 10, 0.1, 20, 7)
 		defer f.stop()
-		f.cut = func(from, to int) bool { return from != to }
+		f.cutDuring(0, time.Hour, func(from, to int) bool { return from != to })
 		errs := f.load(4*time.Second, 10, 0, true)
 		g.Expect(errs).NotTo(BeEmpty())
 		for _, err := range errs {
