--- a/internal/fleet/accountkeys.go
+++ b/internal/fleet/accountkeys.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"fmt"
 )
 
@@ -55,3 +56,84 @@
 
 // Len returns the number of keys.
 func (k *AccountKeys) Len() int { return len(k.accounts) }
+
+// KeyedAccount is a client account with its keys.
+type KeyedAccount struct {
+	Account
+	Keys []string
+}
+
+// MaxPriority bounds the priority of an account.
+const MaxPriority = 1000
+
+// AccountField is a field of a KeyedAccount.
+type AccountField int
+
+// Fields that an AccountFault can name.
+const (
+	FieldName AccountField = iota
+	FieldKeys
+	FieldRate
+	FieldBurst
+	FieldPriority
+)
+
+// AccountFault reports a field of an account that is out of range. It does not contain a key.
+type AccountFault struct {
+	// Account is the position of the account in the list, Key that of the key if Field is FieldKeys.
+	Account, Key int
+	Field        AccountField
+	Problem      string
+}
+
+// Error implements error.
+func (f *AccountFault) Error() string { return fmt.Sprintf("account %d: %s", f.Account, f.Problem) }
+
+// SetAccounts sets the accounts of a configuration and the index of their keys. Errors are of type
+// *AccountFault.
+func (c *Config) SetAccounts(list []KeyedAccount) error {
+	var keys []AccountKey
+	var owners []AccountFault
+	for i, account := range list {
+		if fault := c.accountFault(account); fault != nil {
+			fault.Account = i
+			return fault
+		}
+		c.Accounts[account.ID] = account.Account
+		for j, key := range account.Keys {
+			keys = append(keys, AccountKey{Account: account.ID, Key: key})
+			owners = append(owners, AccountFault{Account: i, Key: j, Field: FieldKeys})
+		}
+	}
+	index, err := NewAccountKeys(keys)
+	var duplicate *DuplicateKeyError
+	if errors.As(err, &duplicate) {
+		first, second := owners[duplicate.First], owners[duplicate.Second]
+		second.Problem = fmt.Sprintf("the same as key %d of account %d", first.Key, first.Account)
+		return &second
+	}
+	c.Keys = index
+	return err
+}
+
+// accountFault returns the first field of an account that is out of range, or that another account has.
+func (c *Config) accountFault(account KeyedAccount) *AccountFault {
+	if _, taken := c.Accounts[account.ID]; taken || account.ID == "" {
+		return &AccountFault{Field: FieldName, Problem: fmt.Sprintf("%q is empty or the name of another account", account.ID)}
+	}
+	if account.RatePerSecond < 0 {
+		return &AccountFault{Field: FieldRate, Problem: fmt.Sprintf("%g must not be negative", account.RatePerSecond)}
+	}
+	if account.Burst < 0 {
+		return &AccountFault{Field: FieldBurst, Problem: fmt.Sprintf("%g must not be negative", account.Burst)}
+	}
+	if priority := account.Priority; priority != nil && (*priority < 0 || *priority > MaxPriority) {
+		return &AccountFault{Field: FieldPriority, Problem: fmt.Sprintf("%d must be between 0 and %d", *priority, MaxPriority)}
+	}
+	for i, key := range account.Keys {
+		if key == "" {
+			return &AccountFault{Field: FieldKeys, Key: i, Problem: "a key must not be empty"}
+		}
+	}
+	return nil
+}
