quotas: homes that ended are replaced, at most by one group of nodes

Change: a node that has not been heard of for 5 s by any path is left out of the order of homes. Only a node that hears more than half of the members replaces others; one that hears less than half, or that less than half of a sample answer, grants nothing, and starts with empty buckets afterwards.

--- a/internal/beacon/table.go
+++ b/internal/beacon/table.go
@@ -54,6 +54,19 @@
 	return fresh
 }
 
+// HeardWithin returns the nodes with a report no older than within.
+func (t *Table) HeardWithin(now time.Time, within time.Duration) map[NodeHash]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	heard := make(map[NodeHash]bool, len(t.newest))
+	for node, e := range t.newest {
+		if now.Sub(e.createdAt) <= within {
+			heard[node] = true
+		}
+	}
+	return heard
+}
+
 // CountRecent counts the nodes with a report no older than within, and those among them that follow
 // the store.
 func (t *Table) CountRecent(now time.Time, nodes []NodeHash, within time.Duration) (recent, following int) {
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -51,6 +51,9 @@
 	return reply
 }
 
+// Buckets returns the number of accounts that the node was asked for as a home.
+func (h *Home) Buckets() int { return len(h.buckets) }
+
 // Return takes back credits whose requests did not run.
 func (h *Home) Return(now time.Duration, account string, r Return) {
 	if b := h.buckets[account]; b != nil {
--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -69,8 +69,10 @@
 	// calls handles the calls of other nodes, which arrive at the same address.
 	calls *calls
 
-	conn  *net.UDPConn
-	table *beacon.Table
+	conn *net.UDPConn
+	// openedAt is the time from which beacons are received.
+	openedAt time.Time
+	table    *beacon.Table
 	// dirty holds a token if the load has changed since the last beacon.
 	dirty chan struct{}
 }
@@ -88,6 +90,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	b.openedAt = time.Now()
 	b.conn, err = net.ListenUDP("udp", addr)
 	return trace.Wrap(err)
 }
@@ -133,6 +136,17 @@
 	}
 }
 
+// heardWithin returns which nodes a report has been heard of lately, by any path; nil if the process
+// has not received beacons for that long.
+func (b *beacons) heardWithin(within time.Duration) func(id string) bool {
+	now := time.Now()
+	if b.openedAt.IsZero() || now.Sub(b.openedAt) < within {
+		return nil
+	}
+	heard := b.table.HeardWithin(now, within)
+	return func(id string) bool { return heard[beacon.HashNode(id)] }
+}
+
 // memberOf returns the node with the given key. Keys shared by several nodes are not found.
 func (v *View) memberOf(key beacon.NodeHash) (Member, bool) {
 	member, ok := v.byKey[key]
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -145,7 +145,7 @@
 	n.departures = newDepartureKeeper(s.Node, s.FirstStart, deps.Source, n.control, n.beacons.calls, n.log)
 	n.departures.held.onHold = n.entry.departures.record
 	n.syncer.departures = n.departures
-	n.entry.quotas = newQuotas(n.lifetime, s, n.control, n.beacons.calls, n.log, deps.Telemetry.Metrics, n.bootTime)
+	n.entry.quotas = newQuotas(n.lifetime, s, n.control, n.beacons.calls, n.log, deps.Telemetry.Metrics, n.bootTime, n.beacons.heardWithin)
 	n.beacons.onVersions = func(configuration, members uint64, addr string) {
 		n.syncer.onPeerVersions(n.lifetime, configuration, members, addr)
 	}
@@ -371,6 +371,7 @@
 	group.Go(func() error { n.syncer.syncConfiguration(ctx); return nil })
 	group.Go(func() error { n.syncer.syncMembers(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
+	group.Go(func() error { n.entry.quotas.watchReach(ctx); return nil })
 	go n.departures.restoreUntilRead(ctx)
 	if !n.settings.FirstStart {
 		go n.adoptServer(ctx)
--- a/internal/sidecar/quotaclaim.go
+++ b/internal/sidecar/quotaclaim.go
@@ -127,7 +127,7 @@
 	now := q.clock()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if a.part.Admit(now, q.started, a.name, a.limit, a.members.nodes, a.members.self) {
+	if a.part.Admit(now, q.started, a.name, a.limit, a.members.all, a.members.self) {
 		c.admitted, c.ownPart = true, true
 		q.metrics.QuotaOwnPart.Inc()
 		q.log.Info("account admitted on own part", zap.String("account", a.name))
--- a/internal/sidecar/quotahome.go
+++ b/internal/sidecar/quotahome.go
@@ -11,20 +11,63 @@
 	"github.com/tarragonford/tarragonford/internal/quota"
 )
 
+const (
+	// silentHomeTime is the time without a report of a node, by any path, after which the next node in
+	// the order of an account takes its place. It is longer than restarts, and than reachRounds, in which a
+	// home that is cut off stops.
+	silentHomeTime = 5 * time.Second
+	// hearingInterval is the time between two looks at which nodes are silent.
+	hearingInterval = 500 * time.Millisecond
+)
+
 // quotaMembers are the members as the order of homes needs them.
 type quotaMembers struct {
 	index *MemberIndex
 	self  quota.Node
-	nodes []quota.Node
-	addrs map[quota.Node]netip.AddrPort
+	// all are the members, living those that may be homes.
+	all, living []quota.Node
+	addrs       map[quota.Node]netip.AddrPort
+	// isolated is set while less than half of the members are heard of. The others may have put nodes in
+	// the place of this one.
+	isolated bool
+	// heardAt is the time of the last look at which nodes are silent.
+	heardAt time.Duration
 }
 
-// updateMembers rebuilds the list of members if it has changed.
+// updateMembers rebuilds the list of members if it has changed, or if nodes have become silent or are
+// heard of again.
 func (q *quotas) updateMembers(now time.Duration, view *View) {
-	if q.members.index == view.MemberIndex {
+	if q.members.index == view.MemberIndex && now-q.members.heardAt < hearingInterval {
 		return
 	}
-	m := &quotaMembers{index: view.MemberIndex, self: quota.HashNode(q.settings.Node), addrs: make(map[quota.Node]netip.AddrPort, len(view.Members))}
+	m := q.newMembers(now, view)
+	first := q.members.index == nil
+	if q.members.isolated && !m.isolated {
+		q.resume(now)
+	}
+	if !first && slices.Equal(m.all, q.members.all) && slices.Equal(m.living, q.members.living) {
+		q.members.index, q.members.isolated, q.members.heardAt = m.index, m.isolated, m.heardAt
+		return
+	}
+	if !first {
+		q.log.Info("homes of accounts", zap.Int("members", len(m.all)), zap.Int("living", len(m.living)), zap.Bool("isolated", m.isolated))
+		q.home.Retain(now, func(account string, limit quota.Limit) bool { return m.isHome(account, limit) })
+	}
+	q.members = m
+}
+
+// resume drops the buckets of a node that was isolated, because others may have granted in its place
+// meanwhile.
+func (q *quotas) resume(now time.Duration) {
+	q.home.Retain(now, func(string, quota.Limit) bool { return false })
+}
+
+func (q *quotas) newMembers(now time.Duration, view *View) *quotaMembers {
+	m := &quotaMembers{
+		index: view.MemberIndex, self: quota.HashNode(q.settings.Node), heardAt: now,
+		addrs: make(map[quota.Node]netip.AddrPort, len(view.Members)),
+	}
+	heard := q.heardWithin(silentHomeTime)
 	for _, member := range view.Members {
 		addr, err := netip.ParseAddrPort(member.Beacon)
 		if err != nil {
@@ -32,21 +75,25 @@
 			continue
 		}
 		node := quota.HashNode(member.ID)
-		m.nodes = append(m.nodes, node)
+		m.all = append(m.all, node)
 		m.addrs[node] = addr
+		if heard == nil || node == m.self || heard(member.ID) {
+			m.living = append(m.living, node)
+		}
 	}
-	slices.Sort(m.nodes)
-	first := q.members.index == nil
-	changed := !slices.Equal(m.nodes, q.members.nodes)
-	q.members = m
-	if changed && !first {
-		q.home.Retain(now, func(account string, limit quota.Limit) bool { return m.isHome(account, limit) })
+	slices.Sort(m.all)
+	slices.Sort(m.living)
+	m.isolated = 2*len(m.living) < len(m.all)
+	if 2*len(m.living) <= len(m.all) {
+		// No more than one group of nodes may replace those that it does not hear.
+		m.living = m.all
 	}
+	return m
 }
 
 // homes returns the homes of an account in their order.
 func (m *quotaMembers) homes(account string, limit quota.Limit) []quota.Node {
-	return quota.Homes(account, m.nodes, limit.Homes(len(m.nodes)))
+	return quota.Homes(account, m.living, limit.Homes(len(m.all)))
 }
 
 // homesFor returns the homes of an account in the order in which this node asks them. Entries
@@ -93,10 +140,10 @@
 	}
 	q.updateMembers(now, view)
 	limit, limited := q.limitOf(view.Config, account)
-	if !limited || !q.members.isHome(account, limit) {
+	if !limited || q.members.isolated || q.unreached.Load() || !q.members.isHome(account, limit) {
 		return quota.Reply{}
 	}
-	reply := q.home.Ask(now, account, limit, limit.Homes(len(q.members.nodes)), ask)
+	reply := q.home.Ask(now, account, limit, limit.Homes(len(q.members.all)), ask)
 	q.metrics.QuotaCredits.Add(int64(reply.Granted))
 	return reply
 }
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,9 +37,14 @@
 	log      *zap.Logger
 	metrics  *telemetry.Metrics
 	// clock counts the time for which the instance is suspended.
-	clock    func() time.Duration
-	started  time.Duration
-	lifetime context.Context
+	clock func() time.Duration
+	// heardWithin returns which nodes have been heard of lately; nil if that is not known.
+	heardWithin func(within time.Duration) func(id string) bool
+	started     time.Duration
+	lifetime    context.Context
+
+	// unreached is set while less than half of the members reply to this node.
+	unreached atomic.Bool
 
 	mu       sync.Mutex
 	home     *quota.Home
@@ -58,16 +64,17 @@
 	returning bool
 }
 
-func newQuotas(lifetime context.Context, s Settings, control *ControlLoop, calls *calls, log *zap.Logger, metrics *telemetry.Metrics, clock func() time.Duration) *quotas {
+func newQuotas(lifetime context.Context, s Settings, control *ControlLoop, calls *calls, log *zap.Logger, metrics *telemetry.Metrics, clock func() time.Duration, heardWithin func(time.Duration) func(string) bool) *quotas {
 	now := clock()
 	if s.QuotaWindow <= 0 {
 		s.QuotaWindow = defaultQuotaWindow
 	}
 	q := &quotas{
-		settings: s, control: control, calls: calls, log: log, metrics: metrics, clock: clock, started: now, lifetime: lifetime,
+		settings: s, control: control, calls: calls, log: log, metrics: metrics, clock: clock, heardWithin: heardWithin, started: now, lifetime: lifetime,
 		home: quota.NewHome(now, rand.Uint32()), accounts: map[string]*accountQuota{}, members: &quotaMembers{},
 	}
 	calls.handlers[callQuota] = q.answer
+	calls.handlers[callReach] = func(time.Time, beacon.NodeHash, []byte) []byte { return nil }
 	return q
 }
 
--- a/internal/sidecar/quotas_test.go
+++ b/internal/sidecar/quotas_test.go
@@ -42,6 +42,8 @@
 	// cut reports whether no datagram passes from one node to another.
 	cut  func(from, to int) bool
 	runs []quotaRun
+	// endBeacons ends the exchange of beacons.
+	endBeacons context.CancelFunc
 }
 
 // quotaNode is a node; its process can be replaced and its instance frozen.
@@ -53,6 +55,11 @@
 	end     context.CancelFunc
 	// frozenUntil holds back what arrives and what callers send.
 	frozenUntil time.Time
+	// startedAt is the start of the process, and heard the time at which it heard of each node last.
+	startedAt time.Time
+	heard     map[int]time.Time
+	// ended is set once the instance has ended for good.
+	ended bool
 }
 
 // quotaRun is a request that ran.
@@ -80,6 +87,9 @@
 		n.configure(1, rate, burst)
 		f.start(n)
 	}
+	var ctx context.Context
+	ctx, f.endBeacons = context.WithCancel(context.Background())
+	go f.exchangeBeacons(ctx)
 	return f
 }
 
@@ -107,7 +117,49 @@
 		return nil
 	})
 	n.quotas = newQuotas(lifetime, Settings{Node: id, QuotaWindow: 5 * time.Second, QuotaOver: f.over, QuotaSlack: f.slack},
-		n.control, n.calls, zap.NewNop(), f.metrics, f.now)
+		n.control, n.calls, zap.NewNop(), f.metrics, f.now, func(within time.Duration) func(string) bool { return f.heardWithin(n, within) })
+	n.startedAt, n.heard = time.Now(), map[int]time.Time{}
+	go n.quotas.watchReach(lifetime)
+}
+
+// heardWithin returns which nodes a node has heard of lately.
+func (f *quotaFleet) heardWithin(n *quotaNode, within time.Duration) func(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(n.startedAt) < within {
+		return nil
+	}
+	heard := map[string]bool{}
+	for number, at := range n.heard {
+		heard[fmt.Sprintf("node-%d", number)] = time.Since(at) <= within
+	}
+	return func(id string) bool { return heard[id] }
+}
+
+// exchangeBeacons lets the nodes hear of each other each second, also by way of others.
+func (f *quotaFleet) exchangeBeacons(ctx context.Context) {
+	for ; ctx.Err() == nil; sleep(ctx, time.Second) {
+		f.mu.Lock()
+		now := time.Now()
+		silent := func(n *quotaNode) bool { return n.ended || now.Before(n.frozenUntil) }
+		for _, from := range f.nodes {
+			if silent(from) {
+				continue
+			}
+			from.heard[from.number] = now
+			for _, to := range f.nodes {
+				if silent(to) || f.cut(from.number, to.number) {
+					continue
+				}
+				for number, at := range from.heard {
+					if at.After(to.heard[number]) {
+						to.heard[number] = at
+					}
+				}
+			}
+		}
+		f.mu.Unlock()
+	}
 }
 
 // process returns the process of a node, and the end of the freeze of its instance.
@@ -124,7 +176,7 @@
 	n := f.nodes[to]
 	process, _, frozenUntil := f.process(n)
 	f.mu.Lock()
-	lost := f.cut(from, to) || f.rng.Float64() < f.lossRate
+	lost := f.cut(from, to) || f.nodes[from].ended || n.ended || f.rng.Float64() < f.lossRate
 	delay := time.Duration(f.rng.Int64N(int64(f.maxDelay)))
 	f.mu.Unlock()
 	if lost {
@@ -184,6 +236,7 @@
 
 // stop ends all processes.
 func (f *quotaFleet) stop() {
+	f.endBeacons()
 	for _, n := range f.nodes {
 		n.end()
 	}
@@ -221,8 +274,11 @@
 	some uint64
 }
 
+// maxFreeze bounds a freeze, so that all callers of a plan have their answers before it ends.
+const maxFreeze = 6 * time.Second
+
 // quotaPlanLength is the time for which an account sends requests.
-const quotaPlanLength = 16 * time.Second
+const quotaPlanLength = 24 * time.Second
 
 func drawQuotaPlan(rt *rapid.T) quotaPlan {
 	rate := rapid.SampledFrom([]float64{0.2, 1, 5, 20, 60}).Draw(rt, "rate")
@@ -239,9 +295,9 @@
 	}
 	for range rapid.IntRange(0, 6).Draw(rt, "failures") {
 		p.failures = append(p.failures, quotaFailure{
-			kind:  rapid.SampledFrom([]string{"halves", "one way", "alone", "kill", "freeze", "lower"}).Draw(rt, "kind"),
-			at:    time.Duration(rapid.IntRange(0, 14000).Draw(rt, "at")) * time.Millisecond,
-			lasts: time.Duration(rapid.IntRange(100, 6000).Draw(rt, "lasts")) * time.Millisecond,
+			kind:  rapid.SampledFrom([]string{"halves", "one way", "alone", "kill", "freeze", "lower", "end"}).Draw(rt, "kind"),
+			at:    time.Duration(rapid.IntRange(0, 20000).Draw(rt, "at")) * time.Millisecond,
+			lasts: time.Duration(rapid.IntRange(100, 14000).Draw(rt, "lasts")) * time.Millisecond,
 			some:  rapid.Uint64().Draw(rt, "some"),
 		})
 	}
@@ -303,11 +359,17 @@
 		f.cutDuring(failure.at, failure.lasts, func(from, to int) bool { return from != to && (in(from) || in(to)) })
 	case "kill":
 		each(f.start)
+	case "end":
+		each(func(n *quotaNode) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			n.ended = true
+		})
 	case "freeze":
 		each(func(n *quotaNode) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			n.frozenUntil = time.Now().Add(failure.lasts)
+			n.frozenUntil = time.Now().Add(min(failure.lasts, maxFreeze))
 		})
 	}
 }
@@ -334,6 +396,11 @@
 			gap = f.rng.ExpFloat64()
 		}
 		n := f.nodes[f.rng.IntN(len(f.nodes))]
+		if n.ended {
+			f.mu.Unlock()
+			time.Sleep(time.Millisecond)
+			continue
+		}
 		ran := time.Duration(f.rng.Int64N(int64(2 * time.Second)))
 		if f.rng.Float64() < unserved {
 			ran = -ran - 1
@@ -370,6 +437,25 @@
 	}
 }
 
+// Guards against accounts that lose a part of their limit for as long as the rows of ended instances stand:
+// on a drawn day of vsb-mjerila-grown 3,114 of 16,000 requests were refused so.
+func TestHomesThatEndedAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newQuotaFleet(t, 20, 50, 50, 0.1, 20, 7)
+		defer f.stop()
+		time.Sleep(10 * time.Second)
+		entry := f.nodes[0].quotas
+		f.request(f.nodes[0], 0)
+		for _, home := range entry.members.homes(quotaAccount, entry.accounts[quotaAccount].limit)[1:] {
+			f.mu.Lock()
+			f.nodes[int(entry.members.addrs[home].Addr().As4()[3])-1].ended = true
+			f.mu.Unlock()
+		}
+		time.Sleep(12 * time.Second)
+		NewWithT(t).Expect(f.load(20*time.Second, 50/1.8, 0, true)).To(BeEmpty())
+	})
+}
+
 // Guards against an account that loses more than the part of its home while that is away.
 func TestALostHomeIsNoticedByNobodyWithinTwoThirds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
