sidecar: a large data centre fetches a configuration from more and more nodes

Cause: with account keys two nodes of a data centre watch the store, and all others asked the first of them that they heard of, at once.

Change: beyond 25 other nodes, they ask at random times, and each a random one of the nodes that have announced the configuration by then.

--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -49,6 +49,10 @@
 	// remotePeerDelay is how long a node waits on average for updates from the store or its own
 	// data centre before it asks a node of another one.
 	remotePeerDelay = 500 * time.Millisecond
+	// spreadFrom is the number of other nodes in a data centre up to which all ask for a configuration at
+	// once, and spreadPerPeer the time by which each further one extends the time in which they ask.
+	spreadFrom    = 25
+	spreadPerPeer = 8 * time.Millisecond
 	// peerStateTimeout bounds a request for the state of another node.
 	peerStateTimeout = time.Second
 )
@@ -74,6 +78,8 @@
 	configuration Configuration
 	peers         *peerClient
 	log           *zap.Logger
+	// announcers are the nodes that a configuration can be fetched from.
+	announcers announcers
 	// fetching is set while another node is being asked for its state.
 	fetching atomic.Bool
 	// role tells whether this node should watch the store.
@@ -400,10 +406,17 @@
 // another path soon, because the responses cross the most expensive links.
 func (s *syncer) onPeerVersions(ctx context.Context, configuration, members uint64, addr string) {
 	view := s.control.View()
-	if s.missingState(view, configuration, members).empty() {
+	missing := s.missingState(view, configuration, members)
+	if missing.empty() {
 		return
 	}
+	if missing.configuration && view.localAddrs[addr] {
+		s.announcers.add(configuration, addr)
+	}
 	delay, ask := s.fetchDelay(view, addr)
+	if missing.configuration {
+		delay += s.spreadDelay(len(view.localPeers))
+	}
 	if !ask || !s.fetching.CompareAndSwap(false, true) {
 		return
 	}
@@ -414,12 +427,22 @@
 		if want.empty() || ctx.Err() != nil {
 			return
 		}
+		if want.configuration {
+			addr = s.announcers.pick(configuration, addr, s.random)
+		}
 		if err := s.fetchState(ctx, addr, want); err != nil {
 			s.log.Warn("state of another node not read", zap.String("addr", addr), zap.Error(err))
 		}
 	}()
 }
 
+// spreadDelay returns a random time by which a node of a large data centre delays its request for a
+// configuration. The nodes that ask first pass the configuration on to the others, so that the links of
+// the few nodes that watch the store do not carry it to all of them.
+func (s *syncer) spreadDelay(peers int) time.Duration {
+	return time.Duration(s.random() * float64(max(peers-spreadFrom, 0)) * float64(spreadPerPeer))
+}
+
 // fetchDelay returns how long to wait for an update by a cheaper path before a node is asked, or
 // false if it must not be asked at all.
 func (s *syncer) fetchDelay(view *View, addr string) (time.Duration, bool) {
