--- a/internal/sidecar/quotahome.go
+++ b/internal/sidecar/quotahome.go
@@ -16,6 +16,9 @@
 	// the order of an account takes its place. It is longer than restarts, and than reachRounds, in which a
 	// home that is cut off stops.
 	silentHomeTime = 5 * time.Second
+	// maxReplacingFleet is the number of members up to which silent homes are replaced. In larger fleets,
+	// nodes disagree too often about who is silent, and then ask nodes that take no home's place.
+	maxReplacingFleet = 128
 	// hearingInterval is the time between two looks at which nodes are silent.
 	hearingInterval = 500 * time.Millisecond
 )
@@ -71,7 +74,10 @@
 		index: view.MemberIndex, self: quota.HashNode(q.settings.Node), heardAt: now,
 		addrs: make(map[quota.Node]netip.AddrPort, len(view.Members)),
 	}
-	heard := q.heardWithin(silentHomeTime)
+	var heard func(id string) bool
+	if len(view.Members) <= maxReplacingFleet {
+		heard = q.heardWithin(silentHomeTime)
+	}
 	for _, member := range view.Members {
 		addr, err := netip.ParseAddrPort(member.Beacon)
 		if err != nil {
