sidecar: the store of TestASmallFleetSeesAChangeAfterASilentStoreInTime is shared by goroutines

The nodes of that test share one store, and each appended the length of its watch to the same slice without a lock: a torn slice header has a length and no memory. `go test -race -run TestASmallFleetSees ./internal/sidecar` shows the race each time; without it the test passed in every earlier run here.

Change: a lock around the list. The check, the fleets and the bounds are as before.

--- a/internal/sidecar/sync_test.go
+++ b/internal/sidecar/sync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -24,8 +25,9 @@
 	losesPending bool
 	// changed is the time of the only change.
 	changed time.Time
-	// waits lists the wait times of the watches.
-	waits []time.Duration
+	// waits lists the wait times of the watches, which several nodes may begin at the same time.
+	waitsLock sync.Mutex
+	waits     []time.Duration
 }
 
 // lossTimeout is how long after the due time a caller gives up on a response.
@@ -38,7 +40,9 @@
 }
 
 func (s *silentStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+	s.waitsLock.Lock()
 	s.waits = append(s.waits, wait)
+	s.waitsLock.Unlock()
 	issued := time.Now()
 	due := issued.Add(wait)
 	if at := s.changed; after < 2 && at.Before(due) {
