confsync: the store of the tests counts reads and outages atomically

Cause: looked for after the race in the sidecar's tests, with -race over all packages. historyStore is read by the node goroutines while the test of readiness counts its reads and switches it off, without synchronisation.

Change: the counter and the switch are atomic. Checks and bounds are as before.

--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,8 +25,8 @@
 	*platform.Memory
 	states     []map[string]string // states[n] is the state after change n, by key
 	beforeRead func()              // called before each read
-	down       bool
-	reads      int
+	down       atomic.Bool
+	reads      atomic.Int64
 }
 
 func newHistoryStore() *historyStore {
@@ -47,11 +48,11 @@
 }
 
 func (h *historyStore) prepareRead() error {
-	h.reads++
+	h.reads.Add(1)
 	if h.beforeRead != nil {
 		h.beforeRead()
 	}
-	if h.down {
+	if h.down.Load() {
 		return platform.ErrUnavailable
 	}
 	return nil
@@ -161,7 +162,7 @@
 			h.writeChange(values)
 		}
 		h.beforeRead = func() {
-			h.down = rapid.IntRange(0, 19).Draw(rt, "down") == 0
+			h.down.Store(rapid.IntRange(0, 19).Draw(rt, "down") == 0)
 			if rapid.IntRange(0, 5).Draw(rt, "land") == 0 {
 				change()
 			}
@@ -270,8 +271,8 @@
 				t.Fatalf("%s after a start with the platform up: ready %v, version %d", name, view.Ready, view.Config.Version)
 			}
 		}
-		h.down = true
-		h.reads = 0
+		h.down.Store(true)
+		h.reads.Store(0)
 		isolated := start("isolated", "unready")
 		start("unready", "isolated")
 		lateStarter := start("late", "x", "y", "z", "isolated")
@@ -283,7 +284,7 @@
 			t.Fatalf("after a start with the platform down: ready %v, version %d", view.Ready, view.Config.Version)
 		}
 		time.Sleep(3 * time.Hour)
-		if perMinute := float64(h.reads) / 6 / 180; perMinute > 1.5 {
+		if perMinute := float64(h.reads.Load()) / 6 / 180; perMinute > 1.5 {
 			t.Fatalf("%.1f reads per minute and node during an outage", perMinute)
 		}
 		peers.syncers["late"].Refresh()
@@ -291,7 +292,7 @@
 		if !lateStarter.View().Ready {
 			t.Fatal("not ready after a freeze although the peers answer")
 		}
-		h.down = false
+		h.down.Store(false)
 		time.Sleep(2 * time.Minute)
 		if !isolated.View().Ready {
 			t.Fatal("not ready although the platform has recovered")
