experiment: one function takes the points of a plot from a table

Cause: the plots of even load and of routing each had their own copy of the loop that reads two columns.

Change: columnPoints takes the columns and the values that select the rows.

Measured: go test ./internal/experiment passes (22 s beside other work).

--- a/internal/experiment/evenload_plot.go
+++ b/internal/experiment/evenload_plot.go
@@ -6,7 +6,6 @@
 
 	"github.com/gravitational/trace"
 	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
@@ -64,7 +63,9 @@
 	p.Legend.Top, p.Legend.Left = true, true
 	var lines []any
 	for _, policy := range evenPolicies {
-		points, err := evenPoints(table, []string{servers, strconv.Itoa(choosers), policy.name}, column)
+		points, err := columnPoints(table, evenIntervalColumn, column, map[int]string{
+			evenServersColumn: servers, evenChoosersColumn: strconv.Itoa(choosers), evenPolicyColumn: policy.name,
+		})
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -76,24 +77,3 @@
 	p.Y.Min = 0
 	return p, nil
 }
-
-// evenPoints returns a column against the interval, in the rows with the given servers, choosers
-// and policy.
-func evenPoints(table *Table, key []string, column int) (plotter.XYs, error) {
-	var points plotter.XYs
-	for _, row := range table.Rows {
-		if row[evenServersColumn] != key[0] || row[evenChoosersColumn] != key[1] || row[evenPolicyColumn] != key[2] {
-			continue
-		}
-		x, err := strconv.ParseFloat(row[evenIntervalColumn], 64)
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		y, err := strconv.ParseFloat(row[column], 64)
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		points = append(points, plotter.XY{X: x, Y: y})
-	}
-	return points, nil
-}
--- a/internal/experiment/traffic_table.go
+++ b/internal/experiment/traffic_table.go
@@ -15,6 +15,12 @@
 // these responses.
 var trafficColumns = []string{"policy", "load", "goodput", "p50_ms", "p99_ms", "sent_per_request"}
 
+// Columns of these tables that select and place the points of a plot.
+const (
+	trafficPolicyColumn = 0
+	trafficLoadColumn   = 1
+)
+
 // trafficLoads are the simulated loads, relative to the capacity without a fault.
 var trafficLoads = []float64{0.5, 0.8, 0.95, 1.3}
 
@@ -41,7 +47,7 @@
 		p.Legend.Left = true
 		var lines []any
 		for _, policy := range policyNames(table) {
-			points, err := trafficPoints(table, policy, column)
+			points, err := columnPoints(table, trafficLoadColumn, column, map[int]string{trafficPolicyColumn: policy})
 			if err != nil {
 				return trace.Wrap(err)
 			}
@@ -59,28 +65,33 @@
 func policyNames(table *Table) []string {
 	var names []string
 	for _, row := range table.Rows {
-		if len(names) == 0 || names[len(names)-1] != row[0] {
-			names = append(names, row[0])
+		if len(names) == 0 || names[len(names)-1] != row[trafficPolicyColumn] {
+			names = append(names, row[trafficPolicyColumn])
 		}
 	}
 	return names
 }
 
-func trafficPoints(table *Table, policy string, column int) (plotter.XYs, error) {
+// columnPoints returns column y against column x of the rows that have the given values in their key
+// columns.
+func columnPoints(table *Table, x, y int, key map[int]string) (plotter.XYs, error) {
 	var points plotter.XYs
+rows:
 	for _, row := range table.Rows {
-		if row[0] != policy {
-			continue
+		for column, value := range key {
+			if row[column] != value {
+				continue rows
+			}
 		}
-		x, err := strconv.ParseFloat(row[1], 64)
+		xValue, err := strconv.ParseFloat(row[x], 64)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		y, err := strconv.ParseFloat(row[column], 64)
+		yValue, err := strconv.ParseFloat(row[y], 64)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		points = append(points, plotter.XY{X: x, Y: y})
+		points = append(points, plotter.XY{X: xValue, Y: yValue})
 	}
 	return points, nil
 }
