--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, platform, test, lint, fuzz, demo, soak, sidecar-soak, crowd, bench, convergence. README.md explains each.
+# Targets: build, platform, test, race, lint, fuzz, demo, soak, sidecar-soak, crowd, bench, convergence. README.md explains each.
 BINARIES := tarragond tarragonctl tarragon-load tarragon-standin
 SEED ?= 1
 DURATION ?= 60s
@@ -9,7 +9,7 @@
 LENGTH ?= 12s
 SOAK_NODES ?= 3
 
-.PHONY: all platform build test lint demo soak soak-short sidecar-soak crowd bench convergence fuzz bin/harness
+.PHONY: all platform build test race lint demo soak soak-short sidecar-soak crowd bench convergence fuzz bin/harness
 
 all: build
 
@@ -31,6 +31,11 @@
 test:
 	SEED=$(SEED) scripts/test.sh
 
+# The tests of the packages under the race detector, which needs a C compiler. The sidecar of the soak is
+# built with it too: GOFLAGS=-race make sidecar-soak.
+race:
+	go test -race -count=1 ./internal/... ./cmd/...
+
 bin/harness: build
 	go build -o bin/harness ./test/harness
 
