telemetry: a line that is logged while the process stops no longer ends it with a panic

At the end of a stop AsyncWriter.Close closed the channel of lines, while a goroutine that waited for a peer's configuration still logged: a write to a closed channel panics, and the process ends with status 2 instead of 0.

Change: Close tells the writer to write what is buffered and end; the channel of lines stays open, so later lines are lost without a failure.

Measured: TestAsyncWriterTakesLinesWhileItCloses panics before (send on closed channel) and passes 200 times with -race after.

--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -13,6 +13,7 @@
 type AsyncWriter struct {
 	out     io.Writer
 	lines   chan []byte
+	closing chan struct{}
 	dropped atomic.Int64
 	// reportedDrops is the number of dropped lines that has been logged.
 	reportedDrops int64
@@ -21,7 +22,7 @@
 
 // NewAsyncWriter starts a writer that buffers up to capacity lines.
 func NewAsyncWriter(out io.Writer, capacity int) *AsyncWriter {
-	w := &AsyncWriter{out: out, lines: make(chan []byte, capacity)}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, capacity), closing: make(chan struct{})}
 	w.done.Add(1)
 	go w.run()
 	return w
@@ -40,22 +41,35 @@
 // Dropped returns the number of lines that were dropped.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the buffered lines. Write must not be called after it.
+// Close writes the buffered lines. It must be called once. Goroutines that still log do not fail, but
+// lines written from then on may be lost.
 func (w *AsyncWriter) Close() {
-	close(w.lines)
+	close(w.closing)
 	w.done.Wait()
 }
 
 func (w *AsyncWriter) run() {
 	defer w.done.Done()
-	for line := range w.lines {
-		// The error is ignored: there is nowhere else to report a failure of the log.
-		_, _ = w.out.Write(line)
-		if len(w.lines) == 0 {
+	for {
+		select {
+		case line := <-w.lines:
+			w.writeLine(line)
+		case <-w.closing:
+			for range len(w.lines) {
+				w.writeLine(<-w.lines)
+			}
 			w.reportDrops()
+			return
 		}
 	}
-	w.reportDrops()
+}
+
+func (w *AsyncWriter) writeLine(line []byte) {
+	// The error is ignored: there is nowhere else to report a failure of the log.
+	_, _ = w.out.Write(line)
+	if len(w.lines) == 0 {
+		w.reportDrops()
+	}
 }
 
 // reportDrops writes the number of lines dropped so far if it has grown since the
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -46,3 +46,26 @@
 		t.Fatalf("the log does not report the dropped lines: %q", text)
 	}
 }
+
+// Guards against a process that ends with a panic because a goroutine logs while it stops.
+func TestAsyncWriterTakesLinesWhileItCloses(t *testing.T) {
+	var out strings.Builder
+	w := NewAsyncWriter(&out, 1000)
+	if _, err := w.Write([]byte("before\n")); err != nil {
+		t.Fatal(err)
+	}
+	var late sync.WaitGroup
+	late.Go(func() {
+		for range 500 {
+			_, _ = w.Write([]byte("late\n"))
+		}
+	})
+	w.Close()
+	late.Wait()
+	if _, err := w.Write([]byte("after\n")); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasPrefix(out.String(), "before\n") {
+		t.Errorf("written %q", out.String())
+	}
+}
