sidecar: a change is done only when the view shows it

Cause: ControlLoop.Do told its caller within the change, before the view with it was published, so that the caller could decide by the old one: the holders of a departure were looked up in a view without other members.

Change: the caller is told by the entry of the queue after the change.

--- a/internal/sidecar/board.go
+++ b/internal/sidecar/board.go
@@ -128,14 +128,17 @@
 	c.onChange(before, after)
 }
 
-// Do runs a change on the control goroutine and waits until it is done. It returns an error if ctx
+// Do runs a change on the control goroutine and waits until a view shows it. It returns an error if ctx
 // ends first; a change that is already queued may still run after that.
 func (c *ControlLoop) Do(ctx context.Context, change func(*state)) error {
 	done := make(chan struct{})
-	select {
-	case c.pending <- func(s *state) { change(s); close(done) }:
-	case <-ctx.Done():
-		return trace.Wrap(ctx.Err())
+	// The view of a change is published after the change has returned, but before the next one runs.
+	for _, queued := range []func(*state){change, func(*state) { close(done) }} {
+		select {
+		case c.pending <- queued:
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		}
 	}
 	select {
 	case <-done:
