gate: a run counts as use of its server from its start

Cause: reports told the time since the last result, so a server stayed due for a trial while a lookup ran there. Change: reports tell the time since the last run began or the last result came, and trials go by that. TestARunCountsAsUseFromItsStart failed first.

--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -19,7 +19,7 @@
 		Node: NodeHash(rapid.Uint32().Draw(t, "node")), FollowsStore: rapid.Bool().Draw(t, "follows"), Stamp: rapid.Uint32().Draw(t, "stamp"),
 		Load: gate.Load{
 			Running: number("running"), Slots: number("slots"), FailureProbability: float64(rapid.IntRange(0, probabilityScale).Draw(t, "doubt")) / probabilityScale,
-			Service: ms("service"), TrialIn: ms("trial"), RetriesLeft: number("repeats"), CallPercent: number("calls"), StopsIn: ms("ends"), SinceLastResult: ms("quiet"),
+			Service: ms("service"), TrialIn: ms("trial"), RetriesLeft: number("repeats"), CallPercent: number("calls"), StopsIn: ms("ends"), SinceLastUse: ms("quiet"),
 			Open: rapid.Bool().Draw(t, "open"), Cold: rapid.Bool().Draw(t, "cold"),
 		},
 	}}
@@ -73,7 +73,7 @@
 	g := NewWithT(t)
 	usual := AgedReport{Age: 150 * time.Millisecond, Report: Report{Load: gate.Load{
 		Open: true, Running: 12, Slots: 13, FailureProbability: 0.31, Service: 1300 * time.Millisecond, TrialIn: 150 * time.Millisecond,
-		RetriesLeft: 20, SinceLastResult: 200 * time.Millisecond, Waiting: [gate.PriorityLevels]int{1, 9, 20, 0},
+		RetriesLeft: 20, SinceLastUse: 200 * time.Millisecond, Waiting: [gate.PriorityLevels]int{1, 9, 20, 0},
 	}}}
 	g.Expect(len(usual.append(nil))).To(BeNumerically("<=", 30))
 }
--- a/internal/beacon/datagram.go
+++ b/internal/beacon/datagram.go
@@ -134,7 +134,7 @@
 		uint64(max(r.Age, 0).Milliseconds()), bits, uint64(r.Load.Running), uint64(r.Load.Slots),
 		uint64(math.Round(r.Load.FailureProbability * probabilityScale)), uint64(r.Load.Service.Milliseconds()),
 		uint64(r.Load.TrialIn.Milliseconds()), uint64(r.Load.RetriesLeft), uint64(r.Load.StopsIn.Milliseconds()),
-		uint64(r.Load.SinceLastResult.Milliseconds()),
+		uint64(r.Load.SinceLastUse.Milliseconds()),
 	}
 	if bits&bitCalls != 0 {
 		numbers = append(numbers, uint64(r.Load.CallPercent), uint64(r.Load.WorkService.Milliseconds()))
@@ -205,7 +205,7 @@
 		TrialIn:            time.Duration(numbers[6]) * time.Millisecond,
 		RetriesLeft:        numbers[7],
 		StopsIn:            time.Duration(numbers[8]) * time.Millisecond,
-		SinceLastResult:    time.Duration(numbers[9]) * time.Millisecond,
+		SinceLastUse:       time.Duration(numbers[9]) * time.Millisecond,
 	}
 	if b, ok = decodeQueue(b, numbers[1], &r.Load); !ok {
 		return AgedReport{}, nil, false
--- a/internal/experiment/evenload_world.go
+++ b/internal/experiment/evenload_world.go
@@ -72,7 +72,7 @@
 	queue    []evenRequest
 	// health is the host's estimate; failing and nextChange are the true state.
 	health     gate.HealthEstimate
-	lastResult time.Time
+	lastUse    time.Time
 	nextTrial  time.Time
 	failing    bool
 	nextChange time.Time
@@ -121,7 +121,7 @@
 	dataCentre := func(i int) string { return fmt.Sprint(i % c.fleet.dataCentres) }
 	for i := range evenServers {
 		s := &evenServer{
-			slowdown: 1, service: evenService, since: evenStart, health: gate.NewHealthEstimate(evenStart), lastResult: evenStart,
+			slowdown: 1, service: evenService, since: evenStart, health: gate.NewHealthEstimate(evenStart), lastUse: evenStart,
 			nextChange: evenStart,
 		}
 		switch {
@@ -300,6 +300,7 @@
 func (w *evenWorld) start(i int, r evenRequest) {
 	s := w.servers[i]
 	s.running++
+	s.lastUse = w.now
 	if w.counted() {
 		w.result.waits = append(w.result.waits, w.now.Sub(r.arrived))
 	}
@@ -323,7 +324,7 @@
 		s.nextTrial = w.now.Add(evenTrialPause)
 	}
 	s.health.Observe(w.now, evidence)
-	s.lastResult = w.now
+	s.lastUse = w.now
 	if len(s.queue) > 0 {
 		next := s.queue[0]
 		s.queue = s.queue[1:]
@@ -349,7 +350,7 @@
 	return gate.Load{
 		Open: true, Cold: s.cold, Running: s.running, Slots: evenSlots, Service: s.service,
 		Waiting:            [gate.PriorityLevels]int{len(s.queue)},
-		FailureProbability: s.health.At(now), SinceLastResult: now.Sub(s.lastResult), TrialIn: max(s.nextTrial.Sub(now), 0),
+		FailureProbability: s.health.At(now), SinceLastUse: now.Sub(s.lastUse), TrialIn: max(s.nextTrial.Sub(now), 0),
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -48,6 +48,8 @@
 	open      bool
 	warmUntil time.Time
 	running   int
+	// lastStart is when the newest run began.
+	lastStart time.Time
 	waiting   []*Ticket
 	flows     flows
 	// calls is the mean number of slots that calls take.
@@ -293,6 +295,7 @@
 	ticket.running = true
 	ticket.started = now
 	g.running++
+	g.lastStart = now
 	g.origins.SetRunning(now, true)
 	g.rate.take(now)
 	if ticket.trial {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -35,6 +35,19 @@
 	g.Expect(after).To(BeNumerically(">", 0))
 }
 
+// Guards against lookups that several entries send to the same server as trials because the first one is
+// still running, while other servers get none.
+func TestARunCountsAsUseFromItsStart(t *testing.T) {
+	g := NewWithT(t)
+	gate := newOpenGate(6)
+	unused := func(after time.Duration) time.Duration { return gate.Load(start.Add(after)).SinceLastUse }
+	g.Expect(unused(3 * time.Second)).To(Equal(3 * time.Second))
+	ticket, _, _ := gate.Admit(start.Add(3*time.Second), nonIdempotent(time.Minute))
+	g.Expect(unused(3500 * time.Millisecond)).To(Equal(500 * time.Millisecond))
+	gate.Done(start.Add(4*time.Second), ticket, Success)
+	g.Expect(unused(4100 * time.Millisecond)).To(Equal(100 * time.Millisecond))
+}
+
 // An unhealthy server gets one idempotent request at a time, and after a few successes
 // non-idempotent requests again.
 func TestSuccessfulTrialsReadmitAnUnhealthyServer(t *testing.T) {
--- a/internal/gate/load.go
+++ b/internal/gate/load.go
@@ -105,8 +105,9 @@
 	// of the interval that has passed towards the next one.
 	RateInterval time.Duration
 	RateTokens   float64
-	// SinceLastResult is the time since the last result that was evidence of the server's health.
-	SinceLastResult time.Duration
+	// SinceLastUse is the time since the last run began or the last result was evidence of the server's
+	// health, whichever is shorter. A run that has begun will have a result.
+	SinceLastUse time.Duration
 	// StopsIn is the time until the node beside the server stops; 0 if it does not. Until then the
 	// node accepts requests that must have ended by then.
 	StopsIn time.Duration
@@ -140,7 +141,7 @@
 		Cold:               now.Before(g.warmUntil),
 		TrialIn:            g.untilTrial(now),
 		RetriesLeft:        g.retries.remaining(now),
-		SinceLastResult:    max(now.Sub(g.health.updatedAt), 0),
+		SinceLastUse:       max(min(now.Sub(g.health.updatedAt), now.Sub(g.lastStart)), 0),
 	}
 	if g.rate.bucket != nil {
 		load.RateInterval, load.RateTokens = g.rate.interval(), g.rate.bucket.TokensAt(now)
--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -26,10 +26,10 @@
 	leastCostUtilization = 0.15
 	// coldCost is the cost of a server that is slow after its start.
 	coldCost = 0.15
-	// noResultTime is the time without a result after which a server gets an idempotent request as
-	// a trial, to learn its health. It is less than the 2 s within which the platform requires every
+	// unusedTime is the time without use after which a server gets an idempotent request as a trial,
+	// to learn its health. It is less than the 2 s within which the platform requires every
 	// healthy server to get requests.
-	noResultTime = 1500 * time.Millisecond
+	unusedTime = 1500 * time.Millisecond
 	// trialBonus is deducted from the cost of a server that needs such a trial. It applies only in
 	// the entry's own data centre, since each data centre has entries that try its servers.
 	trialBonus = 0.25
--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -40,7 +40,7 @@
 // # Trials and exclusion
 //
 // A server that has failed is not chosen again while others have room, so nothing
-// would show that it has recovered. A server without a result for a while is
+// would show that it has recovered. A server that has not been used for a while is
 // therefore cheaper for requests from its data centre that can be retried elsewhere,
 // if its node still reports.
 //
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -103,7 +103,7 @@
 func TestAServerWithoutResultsIsTriedFromItsDataCentre(t *testing.T) {
 	g := NewWithT(t)
 	quiet, used := healthy(0), healthy(2)
-	quiet.FailureProbability, quiet.SinceLastResult = 0.3, 2*noResultTime
+	quiet.FailureProbability, quiet.SinceLastUse = 0.3, 2*unusedTime
 	p := New("a", "r")
 	p.Report(start, "near", quiet)
 	p.Report(start, "far", used)
--- a/internal/pick/reports.go
+++ b/internal/pick/reports.go
@@ -101,12 +101,12 @@
 	return !s.unreachableAt.IsZero() && s.reported.Before(s.unreachableAt) && now.Before(s.unreachableAt.Add(silentBackoff))
 }
 
-// needsTrial reports whether the request is suited to show the health of a server that has had no
-// result for a while. A node that is silent as well has probably ended with its server, and the trial would
+// needsTrial reports whether the request is suited to show the health of a server that has not been
+// used for a while. A node that is silent as well has probably ended with its server, and the trial would
 // be lost.
 func (s *nodeState) needsTrial(now time.Time, q *Query) bool {
 	return q.Idempotent && !q.LastAttempt && len(s.sent) == 0 && s.age(now) <= maxReportAge &&
-		s.load.SinceLastResult+now.Sub(s.reported) >= noResultTime
+		s.load.SinceLastUse+now.Sub(s.reported) >= unusedTime
 }
 
 // Report records the load that a node sent with an answer. It returns true if the node was
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -144,7 +144,7 @@
 		int64(boolToInt(r.Open)), int64(r.Running), int64(r.Slots), scaled(r.FailureProbability),
 		r.Service.Milliseconds(), int64(boolToInt(r.Cold)), r.TrialIn.Milliseconds(), int64(r.version),
 	}
-	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastResult.Milliseconds(),
+	numbers = append(numbers, int64(r.RetriesLeft), r.StopsIn.Milliseconds(), r.SinceLastUse.Milliseconds(),
 		int64(r.CallPercent), r.WorkService.Milliseconds())
 	if r.RateLimited() {
 		numbers = append(numbers, max(r.RateInterval.Milliseconds(), 1), scaled(max(r.RateTokens, 0)))
@@ -224,7 +224,7 @@
 	last := n[8:]
 	r.RetriesLeft = int(last[0])
 	r.StopsIn = time.Duration(last[1]) * time.Millisecond
-	r.SinceLastResult = time.Duration(last[2]) * time.Millisecond
+	r.SinceLastUse = time.Duration(last[2]) * time.Millisecond
 	r.CallPercent = int(last[3])
 	r.WorkService = time.Duration(last[4]) * time.Millisecond
 	r.RateInterval = time.Duration(last[5]) * time.Millisecond
--- a/internal/sidecar/hop_test.go
+++ b/internal/sidecar/hop_test.go
@@ -37,14 +37,14 @@
 			Open: rapid.Bool().Draw(t, "open"), Running: rapid.IntRange(0, 99).Draw(t, "running"),
 			Slots: rapid.IntRange(0, 99).Draw(t, "slots"), FailureProbability: float64(rapid.IntRange(0, shareScale).Draw(t, "doubt")) / shareScale,
 			Service: ms("service"), Cold: rapid.Bool().Draw(t, "cold"), TrialIn: ms("trial"),
-			Waiting: [gate.PriorityLevels]int{1, 2, 3, 4, 5}, CallPercent: rapid.IntRange(0, 100).Draw(t, "calls"), WorkService: ms("work"), RetriesLeft: rapid.IntRange(0, 99).Draw(t, "repeats"), StopsIn: ms("ends"), SinceLastResult: ms("quiet"),
+			Waiting: [gate.PriorityLevels]int{1, 2, 3, 4, 5}, CallPercent: rapid.IntRange(0, 100).Draw(t, "calls"), WorkService: ms("work"), RetriesLeft: rapid.IntRange(0, 99).Draw(t, "repeats"), StopsIn: ms("ends"), SinceLastUse: ms("quiet"),
 		}, version: uint64(rapid.IntRange(0, 1e9).Draw(t, "config"))}
 		if rapid.Bool().Draw(t, "rate limited") {
 			load.RateInterval, load.RateTokens = ms("interval")+time.Millisecond, float64(rapid.IntRange(0, 1e6).Draw(t, "tokens"))/shareScale
 		}
 		back, ok := decodeLoadReport(load.encode())
 		if !ok || back.Running != load.Running || back.Waiting != load.Waiting || back.CallPercent != load.CallPercent || back.WorkService != load.WorkService || back.version != load.version ||
-			back.Open != load.Open || back.Service != load.Service || back.TrialIn != load.TrialIn || back.RetriesLeft != load.RetriesLeft || back.StopsIn != load.StopsIn || back.SinceLastResult != load.SinceLastResult ||
+			back.Open != load.Open || back.Service != load.Service || back.TrialIn != load.TrialIn || back.RetriesLeft != load.RetriesLeft || back.StopsIn != load.StopsIn || back.SinceLastUse != load.SinceLastUse ||
 			back.RateInterval != load.RateInterval || math.Abs(back.RateTokens-load.RateTokens) > 1.0/shareScale {
 			t.Fatalf("sent %+v, got %+v", load, back)
 		}
