--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -35,7 +35,7 @@
 // LeastCost takes the server of the lowest cost at any age.
 //
 // The estimate follows a burst only with the next reports. With reports older than a
-// second, WaterFilling is no better than LeastCost.
+// second, WaterFilling is little better than LeastCost.
 //
 // # Trials and exclusion
 //
