--- a/internal/pick/doc.go
+++ b/internal/pick/doc.go
@@ -35,13 +35,14 @@
 // LeastCost takes the server of the lowest cost at any age.
 //
 // The estimate follows a burst only with the next reports. With reports older than a
-// second, WaterFilling is no better than LeastCost.
+// second, WaterFilling is little better than LeastCost.
 //
 // # Trials and exclusion
 //
 // A server that has failed is not chosen again while others have room, so nothing
-// would show that it has recovered. A server without a result for a while is
-// therefore cheaper for requests from its data centre that can be retried elsewhere.
+// would show that it has recovered. A server that has not been used for a while is
+// therefore cheaper for requests from its data centre that can be retried elsewhere,
+// if its node still reports.
 //
 // A candidate that refused is excluded until the time that it named; one that
 // cannot be reached is excluded for a backoff that doubles up to MaxBackoff, and for silentBackoff while
