beacons: data centres hear of each other from the start of their nodes on

Cause: each node sent a digest when it started and the next one after half to one and a half times its share, which is 67 s in a data centre of 100 nodes (34 s of 71). Nodes that start together so sent none for 33 s (17 s), and nodes of other data centres counted as silent after 5 s. Digests were also shared among, and sent to, the rows of ended instances.

Change: the times to the next digest are exponential, so that neither a common start nor a new draw matters; they are shared by the nodes that run; of three random relays one that was heard of is preferred. The time after which a home counts as silent follows the interval of digests (5 s up to 47 nodes in the largest data centre, 9.2 s at 100).

--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -26,7 +27,7 @@
 	minInterval = 50 * time.Millisecond
 	localRate   = 200
 	// digestInterval is the mean time between two digests from a data centre of up to digestNodes
-	// nodes to another one. It grows with the size of the data centre.
+	// nodes to another one. It grows with the number of its nodes that run.
 	digestInterval = 200 * time.Millisecond
 	digestNodes    = 30
 	// watcherCount is the number of nodes of a data centre that watch the store. It is more than
@@ -44,6 +45,10 @@
 	// that receive a digest.
 	urgentRelays = 2
 	usualRelays  = 1
+	// relayDraws is the number of nodes that are drawn for each relay. One that was heard of within
+	// relayMaxAge is preferred, because the rows of ended instances stay among the members.
+	relayDraws  = 3
+	relayMaxAge = 10 * time.Second
 )
 
 // beacons sends the load of the local server and receives the load of others, as described in
@@ -69,7 +74,7 @@
 	// calls handles the calls of other nodes, which arrive at the same address.
 	calls *calls
 
-	conn *net.UDPConn
+	conn datagramConn
 	// openedAt is the time from which beacons are received.
 	openedAt time.Time
 	table    *beacon.Table
@@ -77,6 +82,13 @@
 	dirty chan struct{}
 }
 
+// datagramConn is the part of net.UDPConn that beacons need.
+type datagramConn interface {
+	ReadFromUDPAddrPort(data []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
 // requestBeacon schedules a beacon. It never blocks.
 func (b *beacons) requestBeacon() {
 	select {
@@ -91,8 +103,12 @@
 		return trace.Wrap(err)
 	}
 	b.openedAt = time.Now()
-	b.conn, err = net.ListenUDP("udp", addr)
-	return trace.Wrap(err)
+	conn, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	b.conn = conn
+	return nil
 }
 
 // receive handles incoming beacons until the socket is closed.
@@ -159,6 +175,7 @@
 	var before gate.Load
 	var versions [2]uint64
 	var lastLocal, nextDigest time.Time
+	senders := 0
 	changed := true
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -178,9 +195,12 @@
 			message.Forward = true
 			b.sendRemote(view, message, urgentRelays)
 		}
-		if !now.Before(nextDigest) {
+		due := senders > 0 && !now.Before(nextDigest)
+		if due {
 			b.sendRemote(view, b.digest(now, view), usualRelays)
-			nextDigest = now.Add(digestDelay(1+len(view.localPeers), rand.Float64()))
+		}
+		if running := b.digestSenders(now, view); due || running != senders {
+			senders, nextDigest = running, now.Add(digestDelay(running, rand.ExpFloat64()))
 		}
 		changed = b.wait(ctx, localDue(lastLocal, len(view.localPeers), changed), nextDigest, changed)
 	}
@@ -218,11 +238,26 @@
 	return max(time.Duration(peerCount)*time.Second/localRate, minInterval)
 }
 
-// digestDelay returns the time until a node of a data centre with the given number of nodes sends
-// its next digest. random is uniform from 0 to 1.
+// meanDigestInterval returns the mean time between two digests from a data centre with the given number of
+// nodes that run to another data centre.
+func meanDigestInterval(nodes int) time.Duration {
+	return digestInterval * time.Duration(max(nodes, digestNodes)) / digestNodes
+}
+
+// digestDelay returns the time until one of the given number of nodes of a data centre sends its next
+// digest. random is exponential with the mean 1, so that the time since the last digest does not
+// matter: nodes that start together do not send together, and the time may be drawn anew whenever the
+// number changes.
 func digestDelay(nodes int, random float64) time.Duration {
-	interval := digestInterval * time.Duration(max(nodes, digestNodes)) / digestNodes
-	return time.Duration((0.5 + random) * float64(interval) * float64(nodes))
+	return time.Duration(random * float64(meanDigestInterval(nodes)) * float64(nodes))
+}
+
+// digestSenders returns the number of nodes that share the digests of the local data centre: those that
+// run, and at least half of the members, because a process that starts hears of the others only after a
+// while.
+func (b *beacons) digestSenders(now time.Time, view *View) int {
+	running, _ := b.table.CountRecent(now, view.localKeys, refreshInterval+beacon.MaxAge)
+	return max(running, (len(view.localKeys)+1)/2)
 }
 
 // loadDatagram returns a datagram with the load of the local server.
@@ -296,13 +331,32 @@
 // sendRemote sends a datagram to a few nodes of each other data centre.
 func (b *beacons) sendRemote(view *View, message beacon.Datagram, relays int) {
 	parts := message.Encode()
+	heard := b.table.HeardWithin(time.Now(), relayMaxAge)
 	for _, nodes := range view.remotePeers {
-		for _, i := range rand.Perm(len(nodes))[:min(relays, len(nodes))] {
-			b.send(nodes[i], parts)
+		for _, node := range drawRelays(nodes, relays, heard) {
+			b.send(node, parts)
 		}
 	}
 }
 
+// drawRelays returns some random nodes, and prefers those that were heard of.
+func drawRelays(nodes []peer, count int, heard map[beacon.NodeHash]bool) []peer {
+	var drawn []peer
+	for _, i := range rand.Perm(len(nodes))[:min(relayDraws*count, len(nodes))] {
+		drawn = append(drawn, nodes[i])
+	}
+	slices.SortStableFunc(drawn, func(a, b peer) int {
+		switch {
+		case heard[a.key] == heard[b.key]:
+			return 0
+		case heard[a.key]:
+			return -1
+		}
+		return 1
+	})
+	return drawn[:min(count, len(drawn))]
+}
+
 func (b *beacons) sendTo(nodes []peer, message beacon.Datagram) {
 	parts := message.Encode()
 	for _, node := range nodes {
--- a/internal/sidecar/quotahome.go
+++ b/internal/sidecar/quotahome.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// silentHomeTime is the time without a report of a node, by any path, after which the next node in
-	// the order of an account takes its place. It is longer than restarts, and than reachRounds, in which a
-	// home that is cut off stops.
-	silentHomeTime = 5 * time.Second
+	// minSilentHomeTime is the time without a report of a node, by any path, after which entries ask the next
+	// node in the order of an account instead. It is longer than restarts. Between data centres, reports come in
+	// digests at random times; missedDigests of them may be missing.
+	minSilentHomeTime = 5 * time.Second
+	missedDigests     = 12
 	// maxReplacingFleet is the number of members up to which silent homes are replaced. In larger fleets,
 	// nodes disagree too often about who is silent, and then ask nodes that take no home's place.
 	maxReplacingFleet = 128
@@ -23,6 +24,13 @@
 	hearingInterval = 500 * time.Millisecond
 )
 
+// silentHomeTime returns the time after which a node counts as silent in a fleet whose data centres have up to
+// the given number of nodes; 0 if there is only one. It is the same at all nodes, so that they agree on who is
+// silent.
+func silentHomeTime(largest int) time.Duration {
+	return max(minSilentHomeTime, beacon.MaxAge+missedDigests*meanDigestInterval(largest))
+}
+
 // quotaMembers are the members as the order of homes needs them.
 type quotaMembers struct {
 	index *MemberIndex
@@ -76,7 +84,7 @@
 	}
 	var heard func(id string) bool
 	if len(view.Members) <= maxReplacingFleet {
-		heard = q.heardWithin(silentHomeTime)
+		heard = q.heardWithin(silentHomeTime(view.largestDataCentre()))
 	}
 	for _, member := range view.Members {
 		addr, err := netip.ParseAddrPort(member.Beacon)
--- a/internal/sidecar/quotareach.go
+++ b/internal/sidecar/quotareach.go
@@ -18,7 +18,7 @@
 
 const (
 	// reachInterval is the time between two rounds of calls to a sample of reachSample members. Two
-	// rounds fit well into silentHomeTime, so that a home that the others do not hear has stopped before
+	// rounds fit well into minSilentHomeTime, so that a home that the others do not hear has stopped before
 	// another takes its place.
 	reachInterval = 2 * time.Second
 	reachSample   = 9
--- a/internal/sidecar/roster.go
+++ b/internal/sidecar/roster.go
@@ -43,6 +43,7 @@
 // peer is another node as a destination of beacons.
 type peer struct {
 	id   string
+	key  beacon.NodeHash
 	addr netip.AddrPort
 }
 
@@ -98,14 +99,13 @@
 			r.invalidBeaconAddrs = append(r.invalidBeaconAddrs, member.ID)
 			continue
 		}
-		p := peer{id: member.ID, addr: addr}
+		p := peer{id: member.ID, key: beacon.HashNode(member.ID), addr: addr}
 		if member.DataCentre == self.DataCentre {
 			r.localPeers = append(r.localPeers, p)
 			r.localAddrs[member.Addr] = true
-			key := beacon.HashNode(member.ID)
-			r.localKeys = append(r.localKeys, key)
-			if key < r.localKeys[0] {
-				r.keysBefore = append(r.keysBefore, key)
+			r.localKeys = append(r.localKeys, p.key)
+			if p.key < r.localKeys[0] {
+				r.keysBefore = append(r.keysBefore, p.key)
 			}
 			continue
 		}
@@ -118,3 +118,15 @@
 		r.remotePeers[groupIndex] = append(r.remotePeers[groupIndex], p)
 	}
 }
+
+// largestDataCentre returns the number of nodes of the largest data centre; 0 if there is only one.
+func (r *MemberIndex) largestDataCentre() int {
+	if len(r.remotePeers) == 0 {
+		return 0
+	}
+	largest := len(r.localKeys)
+	for _, nodes := range r.remotePeers {
+		largest = max(largest, len(nodes))
+	}
+	return largest
+}
