quota: a home that restarts does not exceed a limit whose burst is below a request

Cause: a home holds up to one whole credit, also if its part of the burst and the slack is less. A process that dies may have granted that credit, and the next one grew another within the window.

Change: such a home starts below zero by the difference.

Result: TestADeathDoesNotRaiseTheSumOfAWindow with two more limits failed before (2 credits, allowed 1.25) and passes.

--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -47,7 +47,7 @@
 // burst of each window besides the rate, as far as the slack for restarts covers it: a home may die
 // when it has granted the credits of a whole window, and the next process does not know of them.
 func (l Limit) pace(homes int) float64 {
-	covered := 2 * (slackShare*l.slack() - float64(homes)*l.initial(homes))
+	covered := 2 * (slackShare*l.slack() - float64(homes)*max(l.initial(homes), 0))
 	whole := l.inWindow() * (1 + slackShare*l.Over) / l.Window.Seconds()
 	return min(whole, l.Rate+max(covered, 0)/l.Window.Seconds()) / float64(homes)
 }
@@ -57,12 +57,13 @@
 	return max((l.Burst+slackShare*l.slack())/float64(homes), 1)
 }
 
-// initial returns the number of credits that one of the homes has at the start of its process.
+// initial returns the number of credits that one of the homes has at the start of its process. It is negative if a
+// home can hold more than its part, because it must hold a whole credit: the process before may have granted it.
 func (l Limit) initial(homes int) float64 {
 	if slackShare*l.slack() >= float64(homes) {
 		return 1
 	}
-	return 0
+	return min((l.Burst+slackShare*l.slack())/float64(homes)-1, 0)
 }
 
 // ownPart returns the number of requests in a window that the node at a rank of the order of
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -111,6 +111,8 @@
 		{Rate: 100, Burst: 100, Window: 5 * time.Second, Over: 0.1, Extra: 20},
 		{Rate: 100, Burst: 500, Window: 5 * time.Second, Over: 0.1},
 		{Rate: 30, Burst: 30, Window: 5 * time.Second},
+		{Rate: 0.25, Window: 5 * time.Second},
+		{Rate: 0.7, Burst: 0.4, Window: 5 * time.Second, Extra: 1},
 	} {
 		most := limit.perWindow(1) + 2*slackShare*limit.slack()
 		for death := time.Duration(0); death <= limit.Window; death += 100 * time.Millisecond {
