--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -99,11 +99,7 @@
 // ServeHTTP implements http.Handler.
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x, err := e.accept(w, r)
-	defer func() {
-		if x.attempts == 0 {
-			x.quota.giveBack()
-		}
-	}()
+	defer x.returnCredit()
 	defer x.request.memory.Release()
 	if err != nil {
 		coded := codes.FromError(err)
@@ -124,6 +120,13 @@
 	x.run(ctx, w)
 }
 
+// returnCredit gives back the credit of a request that no server may have run.
+func (x *exchange) returnCredit() {
+	if x.attempts == 0 {
+		x.quota.giveBack()
+	}
+}
+
 // accept validates the request and reads its body.
 func (e *entry) accept(w http.ResponseWriter, r *http.Request) (*exchange, error) {
 	now := time.Now()
