sidecar: the plans of account limits set the network under its lock

Nodes call each other from their start on, so the loss, the delay and the random source of the fleet are read while a plan sets them (reported by -race). The tests of account limits pass with -race.

--- a/internal/sidecar/quotasum_test.go
+++ b/internal/sidecar/quotasum_test.go
@@ -76,7 +76,9 @@
 func (p quotaPlan) play(t *testing.T) error {
 	f := newQuotaFleet(t, p.nodes, p.rate, p.burst, p.over, p.slack, p.seed)
 	defer f.stop()
+	f.mu.Lock()
 	f.lossRate, f.maxDelay = p.loss, p.delay
+	f.mu.Unlock()
 	lowered, kills := quotaPlanLength, 0
 	for _, failure := range p.failures {
 		switch failure.kind {
@@ -94,7 +96,10 @@
 	}
 	const spread = 500 * time.Millisecond
 	for _, n := range f.nodes {
-		time.AfterFunc(lowered+time.Duration(f.rng.Int64N(int64(spread))), func() { n.configure(2, p.rate/4, p.burst/4) })
+		f.mu.Lock()
+		at := lowered + time.Duration(f.rng.Int64N(int64(spread)))
+		f.mu.Unlock()
+		time.AfterFunc(at, func() { n.configure(2, p.rate/4, p.burst/4) })
 	}
 	f.load(quotaPlanLength, p.rate*p.press, p.unserved, true)
 	allowed := func(rate, burst float64) float64 { return (rate*5+burst)*(1+p.over) + p.slack }
