sidecar: lost hops to nodes not heard of do not end with 502

Change: non-idempotent requests to nodes that have missed a beacon need a permit. A hop that ends or is not asked for in time before the permit was granted counts as not sent, and the request goes to another server. A host without the permit refuses. Hop result not-permitted, line "permit not received", counters tarragon_hops_withdrawn and tarragon_permits_missed.

--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -199,9 +199,16 @@
 	if r.departed != nil {
 		header[headerDeparted] = []string{encodeIncarnation(*r.departed)}
 	}
-	response, err := e.peers.do(ctx, member.Addr, &httpconn.Request{
+	hop := &httpconn.Request{
 		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, ID: r.id, Reservation: r.memory,
-	})
+	}
+	var response *httpconn.Response
+	var err error
+	if needsPermit(r.idempotent, choice) {
+		response, err = e.peers.doPermitted(ctx, member.Addr, hop, r.queueLimit)
+	} else {
+		response, err = e.peers.do(ctx, member.Addr, hop)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -282,6 +289,12 @@
 		x.markUnreachable(ctx, member, err)
 		x.tried[member.ID] = true
 		return true, nil
+	case errors.Is(err, errNotPermitted):
+		x.recordResult("not-permitted")
+		e.telemetry.Metrics.HopsWithdrawn.Inc()
+		x.markUnreachable(ctx, member, err)
+		x.tried[member.ID] = true
+		return true, nil
 	case err != nil:
 		x.recordResult("lost")
 		x.markUnreachable(ctx, member, err)
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -260,7 +260,7 @@
 
 // stripHopHeaders removes the headers of a hop, so that neither callers nor servers can set them.
 func stripHopHeaders(h http.Header) {
-	for _, name := range []string{headerHop, headerLoad, headerRefused, headerFailed, headerDeparted, headerState, headerTarget} {
+	for _, name := range []string{headerHop, headerLoad, headerRefused, headerFailed, headerDeparted, headerState, headerTarget, headerPermit} {
 		delete(h, name)
 	}
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -49,6 +49,8 @@
 	// departed is the last server incarnation beside the host that announced its departure to the
 	// entry; nil if none has.
 	departed *registration.Incarnation
+	// askPermit asks the entry for the permit to run the request; nil if it needs none.
+	askPermit func() bool
 	// arrived is the time that the durations in hopMetadata are relative to.
 	arrived time.Time
 }
@@ -174,6 +176,12 @@
 // run sends the request to the server. server is the one registered at admission; if it has left
 // since then, the request is refused.
 func (h *host) run(ctx context.Context, server registration.Server, ticket *gate.Ticket, r *hopRequest) *hopReply {
+	if r.askPermit != nil && !r.askPermit() {
+		h.gate.Cancel(time.Now(), ticket)
+		h.telemetry.Metrics.PermitsMissed.Inc()
+		h.log.Info("permit not received", zap.String("request", r.id), zap.String("entry", r.inbound))
+		return refuse(gate.Busy, 0)
+	}
 	current := h.control.View().Server
 	if !h.gate.IsOpen() || !current.Matches(server.Incarnation) || ctx.Err() != nil {
 		h.gate.Cancel(time.Now(), ticket)
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -39,6 +39,7 @@
 	}
 	h.onVersion(metadata.version, metadata.inbound)
 	arrived := time.Now()
+	askPermit := splitPermit(w, r)
 	body, err := receiveHop(w, r, memory, arrived.Add(metadata.remaining))
 	if err != nil {
 		// The body is incomplete, so the request is not run.
@@ -48,7 +49,7 @@
 	request := &hopRequest{
 		hopMetadata: metadata, id: h.headers.RequestID(r.Header), method: r.Method, target: originalTarget(r),
 		host: r.Host, header: r.Header, body: body, memory: memory, arrived: arrived,
-		departed: decodeIncarnation(r.Header.Get(headerDeparted)),
+		departed: decodeIncarnation(r.Header.Get(headerDeparted)), askPermit: askPermit,
 	}
 	if metadata.service != h.service {
 		writeReply(w, request.id, h.headers, memory, refuse(gate.Closed, 0))
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"net/url"
 	"strings"
 	"sync/atomic"
@@ -14,6 +16,7 @@
 	"time"
 
 	"github.com/tarragonford/tarragonford/internal/httpconn"
+	"github.com/tarragonford/tarragonford/internal/permit"
 )
 
 const (
@@ -69,8 +72,35 @@
 	return httpconn.SetUserTimeout(raw, peerUserTimeout)
 }
 
+// doPermitted sends a request that the node runs only with a permit, and may queue for the given time.
+// Errors are those of do, or wrap errNotPermitted.
+func (c *peerClient) doPermitted(ctx context.Context, addr string, r *httpconn.Request, queue time.Duration) (*httpconn.Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	allowed := permit.New()
+	unasked := time.AfterFunc(permit.Patience(queue, r.Body.Len()), func() {
+		if allowed.WithdrawUnasked() {
+			cancel()
+		}
+	})
+	defer unasked.Stop()
+	r.Header[headerPermit] = []string{"1"}
+	response, err := c.send(ctx, addr, r, allowed)
+	// Without an error the reply is a refusal, or the permit was granted.
+	notRun := allowed.Withdraw()
+	if err != nil && notRun && !errors.Is(err, httpconn.ErrNotSent) {
+		return nil, fmt.Errorf("%w: %w", errNotPermitted, err)
+	}
+	return response, err
+}
+
 // do sends a request. Errors wrap httpconn.ErrNotSent or httpconn.ErrOutcomeUnknown.
 func (c *peerClient) do(ctx context.Context, addr string, r *httpconn.Request) (*httpconn.Response, error) {
+	return c.send(ctx, addr, r, nil)
+}
+
+// send sends a request, with a permit unless allowed is nil. Errors are those of do.
+func (c *peerClient) send(ctx context.Context, addr string, r *httpconn.Request, allowed *permit.Permit) (*httpconn.Response, error) {
 	// WroteHeaders is called too late for a request that is cancelled while its headers are being
 	// written.
 	var sent atomic.Bool
@@ -84,6 +114,12 @@
 	defer connecting.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		Got1xxResponse: func(status int, _ textproto.MIMEHeader) error {
+			if allowed != nil && status == askStatus {
+				allowed.Ask()
+			}
+			return nil
+		},
 	})
 	request := &http.Request{
 		Method: r.Method, Host: r.Host, Header: r.Header,
@@ -94,6 +130,10 @@
 	if r.Body.Len() > 0 {
 		request.Body = io.NopCloser(r.Body.Reader())
 	}
+	if allowed != nil {
+		request.Body = allowed.Body(r.Body.Reader())
+		request.ContentLength++
+	}
 	if strings.HasPrefix(r.Target, "//") || !strings.HasPrefix(r.Target, "/") {
 		request.Header[headerTarget] = []string{r.Target}
 		request.URL.Opaque = "/"
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -41,6 +41,9 @@
 	// BusyHops counts hops of this entry node that a full server refused, and FarHops those to
 	// another data centre.
 	BusyHops, FarHops Counter
+	// HopsWithdrawn counts hops of this entry node that ended before the host was permitted to run the
+	// request, and PermitsMissed requests that this host did not run because it got no permit.
+	HopsWithdrawn, PermitsMissed Counter
 	// Hedges counts hedged attempts, HedgeWins those whose response was used.
 	Hedges, HedgeWins Counter
 	// Dispatches counts requests that the host node sent to a backend server.
--- a/internal/telemetry/series.go
+++ b/internal/telemetry/series.go
@@ -30,6 +30,8 @@
 		counterSeries("tarragon_retries", "Attempts after the first, excluding hedges.", "", &m.Retries),
 		counterSeries("tarragon_busy_hops", "Hops of this entry node that a full server refused.", "", &m.BusyHops),
 		counterSeries("tarragon_far_hops", "Hops of this entry node to another data centre.", "", &m.FarHops),
+		counterSeries("tarragon_hops_withdrawn", "Hops of this entry node that ended before the host was permitted to run the request.", "", &m.HopsWithdrawn),
+		counterSeries("tarragon_permits_missed", "Requests that this host did not run because it got no permit.", "", &m.PermitsMissed),
 		counterSeries("tarragon_retries_refused", "Retries denied by the retry budget.", "", &m.RetriesRefused),
 		counterSeries("tarragon_hedges", "Hedged attempts.", "", &m.Hedges),
 		counterSeries("tarragon_hedge_wins", "Hedged attempts whose response was used.", "", &m.HedgeWins),
