--- a/internal/sidecar/board.go
+++ b/internal/sidecar/board.go
@@ -42,8 +42,6 @@
 	// StopAt the time at which requests that still run are cut off.
 	Leaving           bool
 	StopSince, StopAt time.Time
-	// HopsEnded is set once a stopping node accepts no more hops. Those that still run may make calls.
-	HopsEnded bool
 }
 
 // Ready reports whether callers may use the node.
@@ -55,16 +53,13 @@
 // accepts reports whether the node accepts a hop that must end within the remaining time. A
 // stopping node accepts only work that ends before it stops.
 func (v *View) accepts(now time.Time, remaining time.Duration) bool {
-	return !v.Leaving || !v.HopsEnded && !now.Add(remaining).After(v.StopAt)
+	return !v.Leaving || !now.Add(remaining).After(v.StopAt)
 }
 
 // adjustLoad adds the effect of a planned stop of the node to the load of the local server.
 func (v *View) adjustLoad(now time.Time, load gate.Load) gate.Load {
 	if v.Leaving {
 		load.StopsIn = max(v.StopAt.Sub(now), 0)
-		if v.HopsEnded {
-			load.StopsIn = 0
-		}
 		load.Open = load.Open && load.StopsIn > 0
 	}
 	return load
@@ -80,9 +75,8 @@
 	index    *MemberIndex
 	registry *registration.Registry
 	leaving  bool
-	// stopSince and stopAt are set together with leaving, hopsEnded later.
+	// stopSince and stopAt are set together with leaving.
 	stopSince, stopAt time.Time
-	hopsEnded         bool
 }
 
 // ControlLoop owns the control state, applies changes to it on a single goroutine, and publishes
@@ -170,7 +164,6 @@
 		Leaving:        s.leaving,
 		StopSince:      s.stopSince,
 		StopAt:         s.stopAt,
-		HopsEnded:      s.hopsEnded,
 	}
 	if server, ok := s.registry.Current(); ok {
 		view.Server = server
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -48,7 +48,9 @@
 	n.log.Info("stopping", zap.Int64("in_flight", n.callers.Load()+n.hops.Load()))
 	s := &shutdown{node: n, started: time.Now()}
 	s.end = s.started.Add(n.settings.StopLimit - stopMargin)
-	s.announce(ctx, func(st *state) { st.leaving, st.stopSince, st.stopAt = true, s.started, s.end })
+	if err := n.control.Do(ctx, func(st *state) { st.leaving, st.stopSince, st.stopAt = true, s.started, s.end }); err != nil {
+		n.log.Warn("failed to announce the stop to the control loop", zap.Error(err))
+	}
 	if n.control.View().Server.Leaving {
 		// The server beside this node has left, and the node leaves with it. If another server
 		// starts here, the node starts again and writes a new row.
@@ -66,30 +68,20 @@
 	return s
 }
 
-// drainHops stops accepting hops, informs the other nodes, and waits until the hops in flight and the
-// calls that they make have ended. Then it refuses callers as well, and waits for those that were just
-// taken. The stop limit bounds both.
+// drainHops stops accepting hops, informs the other nodes, and waits until the hops in flight have
+// ended or the stop limit is reached.
 func (s *shutdown) drainHops(ctx context.Context) {
 	n := s.node
 	now := time.Now()
-	s.announce(ctx, func(st *state) { st.hopsEnded = true })
-	n.beacons.requestBeacon()
-	for time.Now().Before(s.end) && (n.hops.Load()+n.callers.Load() > 0 || time.Since(now) < lastHopWait) {
-		sleep(ctx, drainPollInterval)
+	if err := n.control.Do(ctx, func(st *state) { st.stopAt = now }); err != nil {
+		n.log.Warn("failed to announce the end of the stop to the control loop", zap.Error(err))
 	}
-	s.announce(ctx, func(st *state) { st.stopAt = time.Now() })
-	for time.Now().Before(s.end) && n.callers.Load() > 0 {
+	n.beacons.requestBeacon()
+	for time.Now().Before(s.end) && (n.hops.Load() > 0 || time.Since(now) < lastHopWait) {
 		sleep(ctx, drainPollInterval)
 	}
 }
 
-// announce changes the control state.
-func (s *shutdown) announce(ctx context.Context, change func(*state)) {
-	if err := s.node.control.Do(ctx, change); err != nil {
-		s.node.log.Warn("failed to announce the stop to the control loop", zap.Error(err))
-	}
-}
-
 // close closes the listeners, serves the requests read by then, and closes the connections.
 func (s *shutdown) close(ctx context.Context, servers []*http.Server) {
 	end := time.Now().Add(shutdownTimeout)
