--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -45,16 +45,15 @@
 // merge applies changes from the store or from another node. It reports whether any member was
 // added, changed or removed.
 func (t *memberTable) merge(changes memberChanges) bool {
-	changed, complete := t.version == 0, t.version
+	changed := t.version == 0
 	if changes.Complete {
 		changed = t.dropUnlisted(changes) || changed
 	}
 	for _, row := range changes.Rows {
-		known, ok := t.rows[row.ID]
-		if ok && known.Version >= row.Version || !ok && row.Version <= complete {
-			// All changes up to this version are known, so an absent row has been removed since.
+		if t.supersedes(row) {
 			continue
 		}
+		known, ok := t.rows[row.ID]
 		t.rows[row.ID] = row
 		t.newest = max(t.newest, row.Version)
 		present := ok && !known.Removed
@@ -65,6 +64,16 @@
 	return changed
 }
 
+// supersedes reports whether a row is no news. All changes up to the version of the table are known, so a
+// row of that time that is absent has been removed since.
+func (t *memberTable) supersedes(row memberRow) bool {
+	known, ok := t.rows[row.ID]
+	if !ok {
+		return row.Version <= t.version
+	}
+	return known.Version >= row.Version
+}
+
 // dropUnlisted drops the rows that are absent from a complete list, unless they are newer than the
 // list.
 func (t *memberTable) dropUnlisted(changes memberChanges) bool {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -125,7 +125,7 @@
 	n.confirmations = n.newConfirmations()
 	n.syncer = &syncer{
 		self: self, settings: s, control: n.control, source: deps.Source,
-		configuration: deps.Configuration, peers: n.peers, log: n.log, random: rand.Float64,
+		configuration: deps.Configuration, peers: n.peers, log: n.log, metrics: deps.Telemetry.Metrics, random: rand.Float64,
 		role: n.beacons, readConfiguration: make(chan struct{}, 1), confirmations: n.confirmations,
 	}
 	n.entry = &entry{
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -17,6 +17,7 @@
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/httpconn"
 	"github.com/tarragonford/tarragonford/internal/platform"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
 const (
@@ -78,6 +79,7 @@
 	configuration Configuration
 	peers         *peerClient
 	log           *zap.Logger
+	metrics       *telemetry.Metrics
 	// announcers are the nodes that a configuration can be fetched from.
 	announcers announcers
 	// fetching is set while another node is being asked for its state.
@@ -253,6 +255,7 @@
 		if err != nil {
 			return false, err
 		}
+		s.logTableRead(table, *version, at, len(rows))
 		*version, *loaded = at, true
 		apply(rows, nil, at)
 		return true, nil
@@ -268,6 +271,23 @@
 	return len(changes) > 0, nil
 }
 
+// Reasons for reads of whole tables, for the log and the metrics.
+const (
+	firstRead        = "first"
+	historyCompacted = "compacted"
+)
+
+// logTableRead logs the read of a whole table. before is the version up to which its changes were followed.
+func (s *syncer) logTableRead(table string, before, at uint64, rows int) {
+	reason := historyCompacted
+	if before == 0 {
+		reason = firstRead
+	}
+	s.metrics.TableReads.Inc(reason)
+	s.log.Info("table read", zap.String("table", table), zap.String("reason", reason), zap.Uint64("before", before),
+		zap.Uint64("version", at), zap.Int("rows", rows))
+}
+
 // sleep returns after the duration or at the end of ctx.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
@@ -309,6 +329,9 @@
 	}
 	s.control.pending <- func(state *state) {
 		if state.config != nil && config.Version <= state.config.Version {
+			if config.Version < state.config.Version {
+				s.log.Info("older configuration not taken", zap.Uint64("version", config.Version), zap.Uint64("config", state.config.Version), zap.String("from", from))
+			}
 			return
 		}
 		state.config, state.document = config, document
@@ -328,13 +351,34 @@
 		// left.
 		s.departures.restoreRow(ctx)
 		update := s.decodeMembers(rows, changes, version)
-		s.control.pending <- func(state *state) { state.mergeMembers(update) }
+		s.control.pending <- func(state *state) {
+			s.logIgnoredRows(state.members, update)
+			state.mergeMembers(update)
+		}
 		if !s.control.View().Leaving && s.lacksSelf(update) {
 			go s.writeSelf(ctx)
 		}
 	})
 }
 
+// logIgnoredRows logs the rows of a whole read that the node does not take because it knows newer ones.
+func (s *syncer) logIgnoredRows(known *memberTable, update memberChanges) {
+	if !update.Complete {
+		return
+	}
+	var ignored []string
+	for _, row := range update.Rows {
+		if known.supersedes(row) && known.rows[row.ID].Member != row.Member {
+			ignored = append(ignored, row.ID)
+		}
+	}
+	if len(ignored) > 0 {
+		s.metrics.MemberRowsIgnored.Add(int64(len(ignored)))
+		s.log.Warn("member rows ignored", zap.Strings("nodes", ignored[:min(len(ignored), maxLoggedNodes)]), zap.Int("rows", len(ignored)),
+			zap.Uint64("version", update.Version), zap.Uint64("before", known.version))
+	}
+}
+
 // lacksSelf reports whether the row of this node is missing or outdated after the changes.
 func (s *syncer) lacksSelf(update memberChanges) bool {
 	for _, row := range update.Rows {
--- a/internal/sidecar/sync_test.go
+++ b/internal/sidecar/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 
 	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/platform"
+	"github.com/tarragonford/tarragonford/internal/settings"
+	"github.com/tarragonford/tarragonford/internal/telemetry"
 )
 
 // silentStore does not answer calls that it receives, or that fall due, while it is silent. Its
@@ -148,6 +151,15 @@
 
 func (p fixedRole) isPreferred() bool { return len(p.preceding) < watcherCount }
 
+// syncerMetrics are shared by all syncers and not read. They are made outside of any synctest bubble.
+var syncerMetrics = func() *telemetry.Metrics {
+	process, err := telemetry.NewForProcess(context.Background(), telemetry.Process{Name: "test", Log: io.Discard}, settings.Node{ID: "self"})
+	if err != nil {
+		panic(err)
+	}
+	return process.Metrics
+}()
+
 // dataCentre returns the syncers of a data centre.
 func dataCentre(nodes int, seed uint64) []*syncer { return fleetOfSyncers([]int{nodes}, seed) }
 
@@ -158,7 +170,7 @@
 		for j := range nodes {
 			random := rand.New(rand.NewPCG(uint64(j), seed+uint64(i)))
 			dataCentres[i] = append(dataCentres[i], &syncer{
-				log: zap.NewNop(), random: random.Float64, configuration: Configuration{Table: "op"},
+				log: zap.NewNop(), metrics: syncerMetrics, random: random.Float64, configuration: Configuration{Table: "op"},
 			})
 		}
 		for j, s := range dataCentres[i] {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -104,6 +104,14 @@
 	Confirmations   *CounterVec[string]
 	// PlatformCalls counts calls to the platform by operation and result.
 	PlatformCalls *CounterVec[PlatformCall]
+	// StoreEra is the number of times that the store has been restored from a copy, as it tells.
+	StoreEra Gauge
+	// TableReads counts reads of whole tables of the store by reason: the first one of the process, or
+	// why the changes could not be followed.
+	TableReads *CounterVec[string]
+	// MemberRowsIgnored counts rows of whole reads of the members table that differ from what the node
+	// keeps because it takes its own for newer.
+	MemberRowsIgnored Counter
 	// CutOff counts requests interrupted by a node shutdown or a broken connection.
 	CutOff Counter
 
@@ -130,6 +138,7 @@
 		InvariantViolations: newCounterVec(oneLabel("invariant")),
 		Transitions:         newCounterVec(oneLabel("state")),
 		Confirmations:       newCounterVec(oneLabel("source")),
+		TableReads:          newCounterVec(oneLabel("reason")),
 		PlatformCalls:       newCounterVec(platformLabels),
 	}
 	if err := m.addHistograms(meter); err != nil {
--- a/internal/telemetry/series.go
+++ b/internal/telemetry/series.go
@@ -65,6 +65,9 @@
 		gaugeSeries("tarragon_config_confirmation_age", "Time since the configuration in force was last proved to be the newest.", "ms", &m.ConfirmationAge),
 		counterVecSeries("tarragon_config_confirmations", "Proofs that the configuration is the newest, by source.", m.Confirmations),
 		counterVecSeries("tarragon_platform_calls", "Calls to the platform by operation and result.", m.PlatformCalls),
+		gaugeSeries("tarragon_store_era", "Times that the store has been restored from a copy.", "", &m.StoreEra),
+		counterVecSeries("tarragon_table_reads", "Reads of whole tables of the store by reason.", m.TableReads),
+		counterSeries("tarragon_member_rows_ignored", "Rows of whole reads of the members that differ from newer ones.", "", &m.MemberRowsIgnored),
 		counterSeries("tarragon_cut_off", "Requests interrupted by a node shutdown or a broken connection.", "", &m.CutOff),
 	}
 }
