sidecar: members are ordered by the era of the store, and running nodes write lost rows again

Callers saw: 503 on an added route, for as long as the processes ran: the nodes of its service were not taken for members. Nodes disagreed about members, since the one with the higher version asked nobody.

Cause: rows, lists and what beacons announce were compared by versions of the store, which go back with a restore. A row that was written after it counted as older than what was known; a row that the copy lacks was written again only by a node that read the table itself.

Change: rows, lists, beacons and requests between nodes carry the revision, ordered by era first. A list of a newer era replaces what it names; rows of older eras that it lacks stay, since their nodes run. Whatever path a change takes, a node whose row the store lacks writes it again. The magic of beacons changes with their format, so nodes of the two versions do not hear each other.

--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/gate"
 )
 
@@ -38,7 +39,7 @@
 func TestDatagramsArriveAsSent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sent := Datagram{
-			Sender: NodeHash(rapid.Uint32().Draw(t, "sender")), Version: rapid.Uint64().Draw(t, "version"), MembersVersion: rapid.Uint64().Draw(t, "members"), Forward: rapid.Bool().Draw(t, "pass on"),
+			Sender: NodeHash(rapid.Uint32().Draw(t, "sender")), Version: rapid.Uint64().Draw(t, "version"), Members: currency.Revision{Era: rapid.Uint64().Draw(t, "era"), Version: rapid.Uint64().Draw(t, "members")}, Forward: rapid.Bool().Draw(t, "pass on"),
 			Reports: rapid.SliceOfN(rapid.Custom(anyReport), 0, 120).Draw(t, "reports"),
 		}
 		var got []AgedReport
@@ -47,7 +48,7 @@
 				t.Fatalf("a datagram has %d bytes", len(part))
 			}
 			d, ok := Decode(part)
-			if !ok || d.Sender != sent.Sender || d.Version != sent.Version || d.MembersVersion != sent.MembersVersion || d.Forward != sent.Forward {
+			if !ok || d.Sender != sent.Sender || d.Version != sent.Version || d.Members != sent.Members || d.Forward != sent.Forward {
 				t.Fatalf("sent %+v, got %+v", sent, d)
 			}
 			got = append(got, d.Reports...)
--- a/internal/beacon/datagram.go
+++ b/internal/beacon/datagram.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/gate"
 )
 
@@ -23,7 +24,7 @@
 )
 
 // magic begins each datagram, so that datagrams of other protocols are rejected.
-var magic = [2]byte{'T', '3'}
+var magic = [2]byte{'T', '4'}
 
 // Flag bits of a report.
 const (
@@ -75,9 +76,10 @@
 // Datagram carries reports, and the versions that its sender has.
 type Datagram struct {
 	Sender NodeHash
-	// Version is the version of the configuration in force, and MembersVersion that of the newest
-	// change in the table of members; 0 for none.
-	Version, MembersVersion uint64
+	// Version is the version of the configuration in force; 0 for none.
+	Version uint64
+	// Members is the revision of the newest change in the table of members; zero for none.
+	Members currency.Revision
 	// Forward asks the receiver to forward the datagram to the rest of its data centre.
 	Forward bool
 	Reports []AgedReport
@@ -105,7 +107,10 @@
 	}
 	b = append(b, forward)
 	b = binary.BigEndian.AppendUint32(b, uint32(d.Sender))
-	return binary.AppendUvarint(binary.AppendUvarint(b, d.Version), d.MembersVersion)
+	for _, number := range []uint64{d.Version, d.Members.Era, d.Members.Version} {
+		b = binary.AppendUvarint(b, number)
+	}
+	return b
 }
 
 func (r AgedReport) append(b []byte) []byte {
@@ -167,12 +172,12 @@
 	}
 	d := Datagram{Forward: b[2] == 1, Sender: NodeHash(binary.BigEndian.Uint32(b[3:]))}
 	rest := b[7:]
-	for _, version := range []*uint64{&d.Version, &d.MembersVersion} {
+	for _, number := range []*uint64{&d.Version, &d.Members.Era, &d.Members.Version} {
 		value, n := binary.Uvarint(rest)
 		if n <= 0 {
 			return Datagram{}, false
 		}
-		*version, rest = value, rest[n:]
+		*number, rest = value, rest[n:]
 	}
 	for len(rest) > 0 {
 		var r AgedReport
--- a/internal/sidecar/beacon.go
+++ b/internal/sidecar/beacon.go
@@ -59,9 +59,9 @@
 	gate    *gate.Gate
 	picker  *pick.Picker
 	log     *zap.Logger
-	// onVersions is called with the versions of the configuration and of the members table that
-	// another node has.
-	onVersions func(configuration, members uint64, addr string)
+	// onVersions is called with the version of the configuration and the revision of the members table
+	// that another node has.
+	onVersions func(configuration uint64, members currency.Revision, addr string)
 	// watching reports whether this node watches the store.
 	watching func() bool
 	// confirming reports whether the watchers prove that the configuration is the newest.
@@ -137,7 +137,7 @@
 	now := time.Now()
 	view := b.control.View()
 	if sender, ok := view.memberOf(received.Sender); ok {
-		b.onVersions(received.Version, received.MembersVersion, sender.Addr)
+		b.onVersions(received.Version, received.Members, sender.Addr)
 	}
 	for _, r := range received.Reports {
 		member, known := view.memberOf(r.Node)
@@ -173,7 +173,8 @@
 // intervals.
 func (b *beacons) run(ctx context.Context) {
 	var before gate.Load
-	var versions [2]uint64
+	var version uint64
+	var members currency.Revision
 	var lastLocal, nextDigest time.Time
 	senders := 0
 	changed := true
@@ -183,12 +184,12 @@
 		message := b.loadDatagram(now, view)
 		load := message.Reports[0].Load
 		healthChanged := before.Open != load.Open || before.Healthy() != load.Healthy() || before.RateLimited() != load.RateLimited()
-		versionsChanged := versions != [2]uint64{message.Version, message.MembersVersion}
+		versionsChanged := version != message.Version || members != message.Members
 		if healthChanged || versionsChanged || !now.Before(localDue(lastLocal, len(view.localPeers), changed)) {
 			b.sendTo(view.localPeers, message)
 			b.onLoad()
 			before, changed = load, false
-			versions = [2]uint64{message.Version, message.MembersVersion}
+			version, members = message.Version, message.Members
 			lastLocal = now
 		}
 		if healthChanged {
@@ -266,13 +267,13 @@
 	load := view.adjustLoad(now, b.gate.Load(now))
 	own := beacon.AgedReport{Report: beacon.Report{Node: key, Stamp: beacon.StampOf(now), Load: load, FollowsStore: b.watching(), NextReads: b.untilReads(now)}}
 	b.table.Update(now, own)
-	return beacon.Datagram{Sender: key, Version: view.configVersion(), MembersVersion: view.MembersNewest, Reports: []beacon.AgedReport{own}}
+	return beacon.Datagram{Sender: key, Version: view.configVersion(), Members: view.MembersNewest, Reports: []beacon.AgedReport{own}}
 }
 
 // digest returns a datagram with the fresh reports of the local data centre.
 func (b *beacons) digest(now time.Time, view *View) beacon.Datagram {
 	return beacon.Datagram{
-		Sender: view.localKeys[0], Version: view.configVersion(), MembersVersion: view.MembersNewest, Forward: true, Reports: b.table.Fresh(now, view.localKeys),
+		Sender: view.localKeys[0], Version: view.configVersion(), Members: view.MembersNewest, Forward: true, Reports: b.table.Fresh(now, view.localKeys),
 	}
 }
 
--- a/internal/sidecar/beacon_test.go
+++ b/internal/sidecar/beacon_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tarragonford/tarragonford/internal/beacon"
+	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/pick"
 )
@@ -55,7 +56,7 @@
 		self := members[fmt.Sprintf("node-%d", i)]
 		b := &beacons{
 			self: self, control: controlLoopOf(self, members), picker: pick.New(self.DataCentre, self.Region), log: zap.NewNop(),
-			onVersions: func(uint64, uint64, string) {}, onLoad: func() {}, watching: func() bool { return false },
+			onVersions: func(uint64, currency.Revision, string) {}, onLoad: func() {}, watching: func() bool { return false },
 			untilReads: func(time.Time) (next [beacon.WatchedTables]time.Duration) { return next },
 			conn:       beaconConn{f}, openedAt: time.Now(), table: beacon.NewTable(), dirty: make(chan struct{}, 1),
 		}
--- a/internal/sidecar/board.go
+++ b/internal/sidecar/board.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/fleet"
 	"github.com/tarragonford/tarragonford/internal/gate"
 	"github.com/tarragonford/tarragonford/internal/registration"
@@ -32,10 +33,10 @@
 	Config *fleet.Config
 	// Document is the encoded configuration, for sending to nodes that lack it.
 	Document []byte
-	// MembersVersion is the version of the members table up to which no change is missing; 0
-	// before the table was read for the first time. MembersNewest is the version of the newest
+	// MembersRevision is the revision of the members table up to which no change is missing; zero
+	// before the table was read for the first time. MembersNewest is the revision of the newest
 	// known change.
-	MembersVersion, MembersNewest uint64
+	MembersRevision, MembersNewest currency.Revision
 	// Server is the local backend server; its ID is empty if none is registered.
 	Server registration.Server
 	// Leaving is set once the process is stopping. StopSince is then the start of the stop, and
@@ -48,7 +49,7 @@
 func (v *View) Ready() bool { return v.Config != nil && v.MembersKnown() && !v.Leaving }
 
 // MembersKnown reports whether the members table has been read at least once.
-func (v *View) MembersKnown() bool { return v.MembersVersion > 0 }
+func (v *View) MembersKnown() bool { return !v.MembersRevision.IsZero() }
 
 // accepts reports whether the node accepts a hop that must end within the remaining time. A
 // stopping node accepts only work that ends before it stops.
@@ -156,14 +157,14 @@
 		s.index = newMemberIndex(s.self, members)
 	}
 	view := &View{
-		MemberIndex:    s.index,
-		Config:         s.config,
-		Document:       s.document,
-		MembersVersion: s.members.version,
-		MembersNewest:  s.members.newest,
-		Leaving:        s.leaving,
-		StopSince:      s.stopSince,
-		StopAt:         s.stopAt,
+		MemberIndex:     s.index,
+		Config:          s.config,
+		Document:        s.document,
+		MembersRevision: s.members.revision,
+		MembersNewest:   s.members.newest,
+		Leaving:         s.leaving,
+		StopSince:       s.stopSince,
+		StopAt:          s.stopAt,
 	}
 	if server, ok := s.registry.Current(); ok {
 		view.Server = server
--- a/internal/sidecar/confirmations_test.go
+++ b/internal/sidecar/confirmations_test.go
@@ -96,9 +96,9 @@
 	g := NewWithT(t)
 	self := Member{ID: "self", DataCentre: "a"}
 	b := &beacons{self: self, control: NewControlLoop(self, func(_, _ *View) {}), table: beacon.NewTable()}
-	rows := memberChanges{Version: 1, Complete: true}
+	rows := memberChanges{Revision: revisionOf(1), Complete: true}
 	for id, dataCentre := range map[string]string{"a-1": "a", "a-2": "a", "a-3": "a", "b-1": "b", "c-1": "c", "c-2": "c"} {
-		rows.Rows = append(rows.Rows, memberRow{Member: Member{ID: id, DataCentre: dataCentre, Beacon: "10.0.0.1:1"}, Version: 1})
+		rows.Rows = append(rows.Rows, memberRow{Member: Member{ID: id, DataCentre: dataCentre, Beacon: "10.0.0.1:1"}, Revision: revisionOf(1)})
 	}
 	b.control.apply(func(s *state) { s.mergeMembers(rows) })
 	places := func() (places string) {
--- a/internal/sidecar/departurekeeper_test.go
+++ b/internal/sidecar/departurekeeper_test.go
@@ -98,9 +98,9 @@
 	f.mu.Lock()
 	f.calls[addr] = c
 	f.mu.Unlock()
-	changes := memberChanges{Version: 1, Complete: true}
+	changes := memberChanges{Revision: revisionOf(1), Complete: true}
 	for i := 1; i <= nodes; i++ {
-		changes.Rows = append(changes.Rows, memberRow{Member: member(i), Version: 1})
+		changes.Rows = append(changes.Rows, memberRow{Member: member(i), Revision: revisionOf(1)})
 	}
 	if err := control.Do(ctx, func(s *state) { s.mergeMembers(changes) }); err != nil {
 		f.t.Fatal(err)
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -1,43 +1,46 @@
 package sidecar
 
 import (
-	"cmp"
 	"slices"
+
+	"github.com/tarragonford/tarragonford/internal/currency"
 )
 
 // maxRemoved bounds the removed members that are kept so that other nodes learn of their removal.
 const maxRemoved = 256
 
-// memberRow is the newest known version of a row of the members table.
+// memberRow is the newest known state of a row of the members table.
 type memberRow struct {
 	Member
-	// Version is the version of the store at which the row was written or removed.
-	Version uint64 `json:"version"`
-	Removed bool   `json:"removed,omitempty"`
+	// Revision is the version of the store at which the row was written or removed, and the era of the
+	// store in which it was read.
+	Revision currency.Revision `json:"revision"`
+	Removed  bool              `json:"removed,omitempty"`
 }
 
 // memberChanges holds the changes of the members table after some version, or all of its rows if
 // Complete is set.
 type memberChanges struct {
-	// Version is the version up to which no change is missing.
-	Version  uint64      `json:"version"`
-	Complete bool        `json:"complete,omitempty"`
-	Rows     []memberRow `json:"rows,omitempty"`
+	// Revision is the one up to which no change is missing.
+	Revision currency.Revision `json:"revision"`
+	Complete bool              `json:"complete,omitempty"`
+	Rows     []memberRow       `json:"rows,omitempty"`
 }
 
 // memberTable is a node's copy of the members table, built from the store and from other nodes.
-// Store versions order the changes of a row, so changes may arrive late, twice, and by several
-// paths.
+// Revisions of the store order the changes of a row, so changes may arrive late, twice, and by several
+// paths. A store that is restored from a copy lacks the rows that were written since; the nodes of such
+// rows run all the same, so the table keeps the rows of older eras until newer ones replace them.
 type memberTable struct {
 	rows map[string]memberRow
-	// version is the version up to which no change is missing; 0 before the table was read for the
+	// revision is the one up to which no change is missing; zero before the table was read for the
 	// first time.
-	version uint64
-	// newest is the version of the newest row change. The version of the store also advances with
+	revision currency.Revision
+	// newest is the revision of the newest row change. The version of the store also advances with
 	// changes of other tables.
-	newest uint64
-	// horizon is the version up to which removals may have been dropped.
-	horizon uint64
+	newest currency.Revision
+	// horizon is the revision up to which removals may have been dropped.
+	horizon currency.Revision
 }
 
 func newMemberTable() *memberTable { return &memberTable{rows: map[string]memberRow{}} }
@@ -45,7 +48,7 @@
 // merge applies changes from the store or from another node. It reports whether any member was
 // added, changed or removed.
 func (t *memberTable) merge(changes memberChanges) bool {
-	changed := t.version == 0
+	changed := t.revision.IsZero()
 	if changes.Complete {
 		changed = t.dropUnlisted(changes) || changed
 	}
@@ -55,27 +58,34 @@
 		}
 		known, ok := t.rows[row.ID]
 		t.rows[row.ID] = row
-		t.newest = max(t.newest, row.Version)
+		t.newest = later(t.newest, row.Revision)
 		present := ok && !known.Removed
 		changed = changed || present == row.Removed || present && known.Member != row.Member
 	}
-	t.version = max(t.version, changes.Version)
+	t.revision = later(t.revision, changes.Revision)
 	t.pruneRemoved()
 	return changed
 }
 
-// supersedes reports whether a row is no news. All changes up to the version of the table are known, so a
+// supersedes reports whether a row is no news. All changes up to the revision of the table are known, so a
 // row of that time that is absent has been removed since.
 func (t *memberTable) supersedes(row memberRow) bool {
 	known, ok := t.rows[row.ID]
 	if !ok {
-		return row.Version <= t.version
+		return !row.Revision.After(t.revision)
 	}
-	return known.Version >= row.Version
+	return !row.Revision.After(known.Revision)
+}
+
+// lacks reports whether the store lacks the row of a member as it is, by all that is known: the row is
+// absent, differs, or was written before the store was restored and is not in the copy.
+func (t *memberTable) lacks(member Member) bool {
+	row, ok := t.rows[member.ID]
+	return !ok || row.Removed || row.Member != member || row.Revision.Era < t.revision.Era
 }
 
 // dropUnlisted drops the rows that are absent from a complete list, unless they are newer than the
-// list.
+// list or of an older era.
 func (t *memberTable) dropUnlisted(changes memberChanges) bool {
 	listed := make(map[string]bool, len(changes.Rows))
 	for _, row := range changes.Rows {
@@ -83,12 +93,12 @@
 	}
 	dropped := false
 	for id, row := range t.rows {
-		if !listed[id] && row.Version <= changes.Version {
+		if !listed[id] && row.Revision.Era == changes.Revision.Era && !row.Revision.After(changes.Revision) {
 			delete(t.rows, id)
 			dropped = dropped || !row.Removed
 		}
 	}
-	t.horizon = max(t.horizon, changes.Version)
+	t.horizon = later(t.horizon, changes.Revision)
 	return dropped
 }
 
@@ -103,18 +113,26 @@
 	if len(removed) <= maxRemoved {
 		return
 	}
-	slices.SortFunc(removed, func(a, b memberRow) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(removed, func(a, b memberRow) int { return a.Revision.Compare(b.Revision) })
 	for _, row := range removed[:len(removed)-maxRemoved] {
 		delete(t.rows, row.ID)
-		t.horizon = max(t.horizon, row.Version)
+		t.horizon = later(t.horizon, row.Revision)
+	}
+}
+
+// later returns the later one of two revisions.
+func later(a, b currency.Revision) currency.Revision {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
-// since returns the changes that a node lacks if it knows all changes up to the version.
-func (t *memberTable) since(version uint64) memberChanges {
-	changes := memberChanges{Version: t.version, Complete: version < t.horizon || version == 0}
+// since returns the changes that a node lacks if it knows all changes up to the revision.
+func (t *memberTable) since(known currency.Revision) memberChanges {
+	changes := memberChanges{Revision: t.revision, Complete: t.horizon.After(known) || known.IsZero()}
 	for _, row := range t.rows {
-		if changes.Complete && !row.Removed || !changes.Complete && row.Version > version {
+		if changes.Complete && !row.Removed || !changes.Complete && row.Revision.After(known) {
 			changes.Rows = append(changes.Rows, row)
 		}
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -126,7 +126,7 @@
 	n.syncer = &syncer{
 		self: self, settings: s, control: n.control, source: deps.Source,
 		configuration: deps.Configuration, peers: n.peers, log: n.log, metrics: deps.Telemetry.Metrics, random: rand.Float64,
-		role: n.beacons, readConfiguration: make(chan struct{}, 1), confirmations: n.confirmations,
+		role: n.beacons, readConfiguration: make(chan struct{}, 1), selfLacking: make(chan struct{}, 1), confirmations: n.confirmations,
 	}
 	n.entry = &entry{
 		settings: s, control: n.control, picker: n.picker, splitter: n.splitter, peers: n.peers,
@@ -146,7 +146,7 @@
 	n.departures.held.onHold = n.entry.departures.record
 	n.syncer.departures = n.departures
 	n.entry.quotas = newQuotas(n.lifetime, s, n.control, n.beacons.calls, n.log, deps.Telemetry.Metrics, n.bootTime, n.beacons.heardWithin)
-	n.beacons.onVersions = func(configuration, members uint64, addr string) {
+	n.beacons.onVersions = func(configuration uint64, members currency.Revision, addr string) {
 		n.syncer.onPeerVersions(n.lifetime, configuration, members, addr)
 	}
 	n.beacons.watching, n.beacons.untilReads, n.beacons.confirming = n.syncer.watching, n.syncer.untilReads, n.confirmations.active
@@ -183,7 +183,7 @@
 
 // onPeerVersion processes the configuration version that a node sent with a hop.
 func (n *Node) onPeerVersion(version uint64, addr string) {
-	n.syncer.onPeerVersions(n.lifetime, version, 0, addr)
+	n.syncer.onPeerVersions(n.lifetime, version, currency.Revision{}, addr)
 }
 
 // onStateChange reacts to a change of the control state. It runs on the control goroutine.
@@ -370,6 +370,7 @@
 	group.Go(func() error { n.control.Run(ctx); return nil })
 	group.Go(func() error { n.syncer.syncConfiguration(ctx); return nil })
 	group.Go(func() error { n.syncer.syncMembers(ctx); return nil })
+	group.Go(func() error { n.syncer.keepSelf(ctx); return nil })
 	group.Go(func() error { n.sweep(ctx); return nil })
 	group.Go(func() error { n.entry.quotas.watchReach(ctx); return nil })
 	go n.departures.restoreUntilRead(ctx)
--- a/internal/sidecar/peerstate.go
+++ b/internal/sidecar/peerstate.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonford/tarragonford/internal/currency"
 	"github.com/tarragonford/tarragonford/internal/limit"
 )
 
@@ -21,8 +22,8 @@
 // stateRequest is what a node requests from another one.
 type stateRequest struct {
 	configuration, members bool
-	// since is the version of the members table that the requesting node has.
-	since uint64
+	// since is the revision of the members table that the requesting node has.
+	since currency.Revision
 	// anySize requests the configuration regardless of its size, for a node that cannot reach the
 	// store.
 	anySize bool
@@ -31,20 +32,24 @@
 func (w stateRequest) empty() bool { return !w.configuration && !w.members }
 
 func (w stateRequest) encode() string {
-	return fmt.Sprintf("%d;%d;%d;%d", boolToInt(w.configuration), boolToInt(w.members), w.since, boolToInt(w.anySize))
+	return fmt.Sprintf("%d;%d;%d;%d;%d", boolToInt(w.configuration), boolToInt(w.members), w.since.Era, w.since.Version, boolToInt(w.anySize))
 }
 
 // decodeStateRequest returns an empty request if the text is malformed.
 func decodeStateRequest(text string) stateRequest {
 	fields := strings.Split(text, ";")
-	if len(fields) != 4 {
+	if len(fields) != 5 {
 		return stateRequest{}
 	}
-	since, err := strconv.ParseUint(fields[2], 10, 64)
-	if err != nil {
+	era, eraErr := strconv.ParseUint(fields[2], 10, 64)
+	version, versionErr := strconv.ParseUint(fields[3], 10, 64)
+	if eraErr != nil || versionErr != nil {
 		return stateRequest{}
 	}
-	return stateRequest{configuration: fields[0] == "1", members: fields[1] == "1", since: since, anySize: fields[3] == "1"}
+	return stateRequest{
+		configuration: fields[0] == "1", members: fields[1] == "1",
+		since: currency.Revision{Era: era, Version: version}, anySize: fields[4] == "1",
+	}
 }
 
 // peerState is the response to a stateRequest.
--- a/internal/sidecar/roster_test.go
+++ b/internal/sidecar/roster_test.go
@@ -26,9 +26,9 @@
 
 func controlLoopOf(self Member, members map[string]Member) *ControlLoop {
 	control := NewControlLoop(self, func(_, _ *View) {})
-	list := memberChanges{Version: 1, Complete: true}
+	list := memberChanges{Revision: revisionOf(1), Complete: true}
 	for _, member := range members {
-		list.Rows = append(list.Rows, memberRow{Member: member, Version: 1})
+		list.Rows = append(list.Rows, memberRow{Member: member, Revision: revisionOf(1)})
 	}
 	control.apply(func(s *state) { s.mergeMembers(list) })
 	return control
@@ -72,8 +72,8 @@
 	g.Expect(testing.AllocsPerRun(100, func() { sequence++; heartbeat(sequence) })).To(BeNumerically("<", 10))
 
 	control.apply(func(s *state) {
-		s.mergeMembers(memberChanges{Version: 2, Rows: []memberRow{
-			{Member: Member{ID: "node-9"}, Version: 2, Removed: true}, {Member: self, Version: 2, Removed: true},
+		s.mergeMembers(memberChanges{Revision: revisionOf(2), Rows: []memberRow{
+			{Member: Member{ID: "node-9"}, Revision: revisionOf(2), Removed: true}, {Member: self, Revision: revisionOf(2), Removed: true},
 		}})
 	})
 	g.Expect(control.View().Members).To(HaveLen(232))
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -47,6 +47,8 @@
 	// pollerMaxBackoff bounds the pause after a failed call on nodes that others have precedence
 	// over in watching.
 	pollerMaxBackoff = 4 * time.Second
+	// selfWritePause is the time in which a node hears of its own write of the members table.
+	selfWritePause = 3 * time.Second
 	// remotePeerDelay is how long a node waits on average for updates from the store or its own
 	// data centre before it asks a node of another one.
 	remotePeerDelay = 500 * time.Millisecond
@@ -94,6 +96,8 @@
 	// nextReads are the times of the next reads of the watched tables, by the index of the table.
 	nextReads  [beacon.WatchedTables]atomic.Pointer[time.Time]
 	departures *departureKeeper
+	// selfLacking holds a token if the store may lack the row of this node.
+	selfLacking chan struct{}
 	// unreadableTables counts the tables whose last read failed.
 	unreadableTables atomic.Int32
 	// readConfiguration triggers a read of the configuration from the store.
@@ -353,17 +357,47 @@
 		// The store is reachable at this point, and a ready node must know whether its server has
 		// left.
 		s.departures.restoreRow(ctx)
-		update := s.decodeMembers(rows, changes, at.Version)
+		update := s.decodeMembers(rows, changes, at)
 		s.control.pending <- func(state *state) {
 			s.logIgnoredRows(state.members, update)
-			state.mergeMembers(update)
-		}
-		if !s.control.View().Leaving && s.lacksSelf(update) {
-			go s.writeSelf(ctx)
+			s.mergeMembers(state, update)
 		}
 	})
 }
 
+// mergeMembers applies changes of the members table, and has the row of this node written if the store lacks it.
+func (s *syncer) mergeMembers(state *state, update memberChanges) {
+	state.mergeMembers(update)
+	if state.members.lacks(s.self) {
+		select {
+		case s.selfLacking <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// keepSelf writes the row of this node whenever the store lacks it, until ctx ends.
+func (s *syncer) keepSelf(ctx context.Context) {
+	for {
+		select {
+		case <-s.selfLacking:
+		case <-ctx.Done():
+			return
+		}
+		for s.lacksSelf(ctx) {
+			s.writeSelf(ctx)
+			sleep(ctx, selfWritePause)
+		}
+	}
+}
+
+// lacksSelf reports whether the store lacks the row of this node, unless the node is leaving.
+func (s *syncer) lacksSelf(ctx context.Context) bool {
+	lacking := false
+	err := s.control.Do(ctx, func(state *state) { lacking = !state.leaving && state.members.lacks(s.self) })
+	return err == nil && lacking
+}
+
 // logIgnoredRows logs the rows of a whole read that the node does not take because it knows newer ones.
 func (s *syncer) logIgnoredRows(known *memberTable, update memberChanges) {
 	if !update.Complete {
@@ -378,29 +412,19 @@
 	if len(ignored) > 0 {
 		s.metrics.MemberRowsIgnored.Add(int64(len(ignored)))
 		s.log.Warn("member rows ignored", zap.Strings("nodes", ignored[:min(len(ignored), maxLoggedNodes)]), zap.Int("rows", len(ignored)),
-			zap.Uint64("version", update.Version), zap.Uint64("before", known.version))
-	}
-}
-
-// lacksSelf reports whether the row of this node is missing or outdated after the changes.
-func (s *syncer) lacksSelf(update memberChanges) bool {
-	for _, row := range update.Rows {
-		if row.ID == s.self.ID {
-			return row.Removed || row.Member != s.self
-		}
+			zap.Uint64("version", update.Revision.Version), zap.Uint64("before", known.revision.Version))
 	}
-	return update.Complete
 }
 
 // decodeMembers decodes rows and changes, and skips those that are malformed.
-func (s *syncer) decodeMembers(rows []platform.Row, changes []platform.Change, version uint64) memberChanges {
-	decoded := memberChanges{Version: version, Complete: changes == nil}
+func (s *syncer) decodeMembers(rows []platform.Row, changes []platform.Change, at currency.Revision) memberChanges {
+	decoded := memberChanges{Revision: at, Complete: changes == nil}
 	for _, change := range changes {
 		if change.Removed {
-			removed := memberRow{Member: Member{ID: change.Key}, Version: change.Version, Removed: true}
-			if removed.Version == 0 {
+			removed := memberRow{Member: Member{ID: change.Key}, Revision: currency.Revision{Era: at.Era, Version: change.Version}, Removed: true}
+			if change.Version == 0 {
 				// The store may omit the version at which the row was removed.
-				removed.Version = version
+				removed.Revision = at
 			}
 			decoded.Rows = append(decoded.Rows, removed)
 			continue
@@ -408,7 +432,7 @@
 		rows = append(rows, change.Row)
 	}
 	for _, row := range rows {
-		member := memberRow{Version: row.Version}
+		member := memberRow{Revision: currency.Revision{Era: at.Era, Version: row.Version}}
 		if err := json.Unmarshal(row.Value, &member.Member); err != nil || member.ID != row.Key {
 			s.log.Error("invalid member row", zap.String("key", row.Key), zap.Error(err))
 			continue
@@ -447,11 +471,11 @@
 	}
 }
 
-// onPeerVersions processes the versions of the configuration and of the members table that another
-// node has, 0 for one that it did not announce, and fetches from that node what this one lacks.
+// onPeerVersions processes the version of the configuration and the revision of the members table that another
+// node has, zero for one that it did not announce, and fetches from that node what this one lacks.
 // Only a few nodes ask nodes of other data centres, and only if the update does not arrive by
 // another path soon, because the responses cross the most expensive links.
-func (s *syncer) onPeerVersions(ctx context.Context, configuration, members uint64, addr string) {
+func (s *syncer) onPeerVersions(ctx context.Context, configuration uint64, members currency.Revision, addr string) {
 	view := s.control.View()
 	missing := s.missingState(view, configuration, members)
 	if missing.empty() {
@@ -461,7 +485,7 @@
 		s.announcers.add(configuration, addr)
 	}
 	delay, ask := s.fetchDelay(view, addr)
-	if missing.configuration {
+	if missing.configuration || members.Era > view.MembersRevision.Era {
 		delay += s.spreadDelay(len(view.localPeers))
 	}
 	if !ask || !s.fetching.CompareAndSwap(false, true) {
@@ -484,8 +508,8 @@
 }
 
 // spreadDelay returns a random time by which a node of a large data centre delays its request for a
-// configuration. The nodes that ask first pass the configuration on to the others, so that the links of
-// the few nodes that watch the store do not carry it to all of them.
+// configuration or for the whole list of members. The nodes that ask first pass them on to the others, so that the links of
+// the few nodes that watch the store do not carry them to all.
 func (s *syncer) spreadDelay(peers int) time.Duration {
 	return time.Duration(s.random() * float64(max(peers-spreadFrom, 0)) * float64(spreadPerPeer))
 }
@@ -507,12 +531,12 @@
 }
 
 // missingState returns what this node lacks compared with the versions that another one has.
-func (s *syncer) missingState(view *View, configuration, members uint64) stateRequest {
+func (s *syncer) missingState(view *View, configuration uint64, members currency.Revision) stateRequest {
 	return stateRequest{
 		configuration: configuration > view.configVersion(),
 		// Any node that has a configuration also has a list of members.
-		members: members > view.MembersVersion || !view.MembersKnown() && configuration > 0,
-		since:   view.MembersVersion,
+		members: members.After(view.MembersRevision) || !view.MembersKnown() && configuration > 0,
+		since:   view.MembersRevision,
 		anySize: s.unreadableTables.Load() > 0,
 	}
 }
@@ -539,8 +563,8 @@
 		default:
 		}
 	}
-	if received.Members != nil && received.Members.Version > 0 {
-		s.control.pending <- func(state *state) { state.mergeMembers(*received.Members) }
+	if received.Members != nil && !received.Members.Revision.IsZero() {
+		s.control.pending <- func(state *state) { s.mergeMembers(state, *received.Members) }
 	}
 	return nil
 }
--- a/internal/sidecar/sync_test.go
+++ b/internal/sidecar/sync_test.go
@@ -278,7 +278,7 @@
 // may fetch it, at different times; the others receive it from them.
 func TestFewNodesAskOtherDataCentres(t *testing.T) {
 	g := NewWithT(t)
-	view := &View{MemberIndex: &MemberIndex{localAddrs: map[string]bool{"near": true}}, MembersVersion: 1}
+	view := &View{MemberIndex: &MemberIndex{localAddrs: map[string]bool{"near": true}}, MembersRevision: revisionOf(1)}
 	fetchDelays := map[time.Duration]bool{}
 	for _, s := range dataCentre(47, 1) {
 		if delay, ask := s.fetchDelay(view, "far"); ask {
