currency: a store that was restored from a copy proves no configuration at first

Callers saw: an account key that was withdrawn more than revoke_s before was accepted.

Cause: each answer of the store counted as proof that no configuration was newer than the newest one ever read. After a restore the store lacks configurations that it has acknowledged until the operator repeats them, so its answers proved older ones, to processes that started then and, if nobody had read the withdrawal, to all.

A store that names no era is not affected. Weighed: a row with the time at which an era was first seen, so that a process that starts later need not wait (one more table to trust and to keep); no wait for the whole system's first start (a drill may come before its first read, as a draw showed).

--- a/internal/currency/currency_test.go
+++ b/internal/currency/currency_test.go
@@ -243,3 +243,100 @@
 	}
 	g.Expect(len(proofs.byVersion)).To(Equal(maxProofs))
 }
+
+// restoredModel is a model whose store may come back from a copy that lacks the last versions, which the
+// operator repeats within SettleTime.
+type restoredModel struct {
+	model
+	era uint64
+	// holds is the version that the store holds, and repeatAt when it holds all that was acknowledged again.
+	holds    uint64
+	repeatAt time.Duration
+}
+
+func (m *restoredModel) held() uint64 {
+	if m.now >= m.repeatAt {
+		m.holds = uint64(len(m.acked))
+	}
+	return m.holds
+}
+
+// Guards against a key that is accepted too late after its withdrawal because a restored store, which lacks the
+// withdrawal, seems to prove an older configuration, for processes that run on and for new ones.
+func TestARestoredStoreProvesNoWithdrawnKey(t *testing.T) {
+	policy := Policy{Within: 5 * time.Second}
+	accepted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := &restoredModel{era: 1}
+		witnesses := make([]Witness, rapid.IntRange(1, 4).Draw(t, "nodes"))
+		for range witnesses {
+			m.nodes = append(m.nodes, &modelNode{offset: time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "offset"))})
+		}
+		m.acked, m.holds = []time.Duration{0}, 1
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			m.now += time.Duration(rapid.Int64Range(0, int64(1200*time.Millisecond)).Draw(t, "wait"))
+			i := rapid.IntRange(0, len(m.nodes)-1).Draw(t, "node")
+			n, w := m.nodes[i], &witnesses[i]
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				// The operator writes whole configurations, which replace whatever it has to repeat.
+				m.acked = append(m.acked, m.now)
+				m.holds, m.repeatAt = uint64(len(m.acked)), m.now
+			case 1:
+				*n = modelNode{offset: time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "new offset")), life: n.life + 1}
+				*w = Witness{}
+			case 2:
+				m.now += time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(t, "away"))
+				m.era++
+				m.holds = uint64(rapid.IntRange(1, int(m.held())).Draw(t, "copy"))
+				m.repeatAt = m.now + time.Duration(rapid.Int64Range(0, int64(SettleTime)).Draw(t, "repeated after"))
+			case 3, 4, 5, 6:
+				asked := m.clock(n)
+				m.now += time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "delay"))
+				w.Observe(m.era, m.clock(n), n.version)
+				w.Stored(m.held())
+				n.version = max(n.version, m.held())
+				if proof, ok := w.Proof(asked); ok {
+					n.proofs = n.proofs.Add(proof)
+				}
+			case 7, 8:
+				m.ask(i, rapid.IntRange(0, len(m.nodes)-1).Draw(t, "other"), time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "delay")))
+			default:
+				if len(m.flying) > 0 {
+					m.arrive(rapid.IntRange(0, len(m.flying)-1).Draw(t, "answer"))
+				}
+			}
+			for i, n := range m.nodes {
+				if !policy.Holds(n.proofs, n.version, m.clock(n)) {
+					continue
+				}
+				accepted++
+				if n.version < uint64(len(m.acked)) && m.now-m.acked[n.version] > policy.Within {
+					t.Fatalf("node %d relies on version %d, %v after it was superseded", i, n.version, m.now-m.acked[n.version])
+				}
+			}
+		}
+	})
+	NewWithT(t).Expect(accepted).To(BeNumerically(">", 100), "the test must reach states in which keys are accepted")
+}
+
+// Guards against a proof by a store that holds an older version than the node has, however long the operator takes
+// to repeat the newer one, and against what was read in an older era.
+func TestAStoreThatLacksAKnownVersionProvesNothing(t *testing.T) {
+	g := NewWithT(t)
+	w := Witness{}
+	w.Observe(1, 0, 0)
+	w.Stored(12)
+	proof, ok := w.Proof(SettleTime)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(proof).To(Equal(Proof{Version: 12, At: SettleTime}))
+	w.Observe(2, time.Minute, 12)
+	_, ok = w.Proof(2 * time.Minute)
+	g.Expect(ok).To(BeFalse(), "nothing was read in this era")
+	w.Stored(10)
+	_, ok = w.Proof(2 * time.Minute)
+	g.Expect(ok).To(BeFalse(), "version 12 is known")
+	w.Stored(12)
+	_, ok = w.Proof(2 * time.Minute)
+	g.Expect(ok).To(BeTrue())
+}
--- a/internal/currency/doc.go
+++ b/internal/currency/doc.go
@@ -13,6 +13,10 @@
 // A node that accepts a version only while Policy.MaxAge has not passed since a proof of it stops
 // accepting it within that time of the acknowledgement of a newer one.
 //
+// A store that is restored from a copy lacks versions that it has acknowledged, and gives out their numbers again.
+// A Revision tells its eras apart, and a Witness makes no proofs in a new era until SettleTime has passed and the store
+// holds what the node has.
+//
 // # Spacing of watches
 //
 // A watch whose answer is lost hangs until its timeout, so only a watch that starts later finds a
@@ -24,5 +28,6 @@
 // # Limits
 //
 // The bound on the gap between two starts needs at least minSpaced watchers that hear each other.
-// Proofs assume clocks that run at the same speed within the margin of Policy.MaxAge.
+// A Witness assumes that those who wrote what a copy lacks write it again within SettleTime of the return
+// of the store. Proofs assume clocks that run at the same speed within the margin of Policy.MaxAge.
 package currency
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -90,9 +90,8 @@
 	role watcherRole
 	// confirmations holds the proofs of the age of the configuration; nil if none are needed.
 	confirmations *confirmations
-	// storedConfiguration is the newest version of the configuration that this node has read from
-	// the store. Only syncConfiguration uses it.
-	storedConfiguration uint64
+	// witness decides which reads of the configuration are proofs of its age. Only syncConfiguration uses it.
+	witness currency.Witness
 	// nextReads are the times of the next reads of the watched tables, by the index of the table.
 	nextReads  [beacon.WatchedTables]atomic.Pointer[time.Time]
 	departures *departureKeeper
@@ -172,9 +171,12 @@
 }
 
 // confirmStored adds the proof that no configuration was newer than the newest one read from the
-// store when the store was asked. The control goroutine applies that configuration first.
+// store when the store was asked, if the store can know. The control goroutine applies that configuration first.
 func (s *syncer) confirmStored(asked time.Duration) {
-	proof := currency.Proof{Version: s.storedConfiguration, At: asked}
+	proof, proved := s.witness.Proof(asked)
+	if !proved {
+		return
+	}
 	s.control.pending <- func(*state) { s.confirmations.add(proof, confirmedByStore) }
 }
 
@@ -305,7 +307,8 @@
 
 // syncConfiguration keeps the newest configuration in force.
 func (s *syncer) syncConfiguration(ctx context.Context) {
-	s.syncTable(ctx, s.configuration.Table, configurationPause, s.readConfiguration, func(rows []platform.Row, changes []platform.Change, _ currency.Revision) {
+	s.syncTable(ctx, s.configuration.Table, configurationPause, s.readConfiguration, func(rows []platform.Row, changes []platform.Change, at currency.Revision) {
+		s.observeEra(at.Era)
 		for _, row := range rows {
 			s.applyRow(row)
 		}
@@ -317,12 +320,19 @@
 	})
 }
 
+// observeEra tells the witness the era of what was read.
+func (s *syncer) observeEra(era uint64) {
+	if now, ok := s.confirmations.clockNow(); ok {
+		s.witness.Observe(era, now, s.control.View().configVersion())
+	}
+}
+
 func (s *syncer) applyRow(row platform.Row) {
 	if row.Key != s.configuration.Key {
 		return
 	}
 	if version, valid := s.applyDocument(row.Value, "store"); valid {
-		s.storedConfiguration = max(s.storedConfiguration, version)
+		s.witness.Stored(version)
 	}
 }
 
