sidecar: departures are recorded again after the store was restored

Callers saw: nothing yet; by the failing test, the next process of a node could use a server whose departure was acknowledged, if the nodes that hold the departure had ended too.

Cause: a departure that the store had acknowledged counted as kept for good; the copy lacks it.

Change: when the members show a new era, a node writes the departures of this and of earlier processes again that its row lacks. The version of the row is read anew, since versions are given out again.

--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -58,6 +58,8 @@
 	// saved holds a channel for each departure that is being saved or was; it is closed once
 	// something outside the process has the departure.
 	saved map[registration.Incarnation]chan struct{}
+	// departed lists the departures that were saved, oldest first.
+	departed []registration.Incarnation
 
 	// row serialises the changes of the node's row. While rowKnown is set, recorded and version are
 	// what it holds.
@@ -94,6 +96,7 @@
 	done := make(chan struct{})
 	finish := sync.OnceFunc(func() { close(done) })
 	k.saved[departed] = done
+	k.departed = append(k.departed, departed)
 	go func() {
 		if k.record(ctx, departed) {
 			finish()
@@ -134,6 +137,20 @@
 	return false
 }
 
+// recordAgain writes the departures of this and of earlier processes again that a restored store lacks.
+func (k *departureKeeper) recordAgain(ctx context.Context) {
+	k.row.Lock()
+	departed := slices.Clone(k.recorded)
+	k.rowKnown = false
+	k.row.Unlock()
+	k.mu.Lock()
+	departed = append(departed, k.departed...)
+	k.mu.Unlock()
+	for _, incarnation := range departed[max(len(departed)-recordedDepartures, 0):] {
+		k.record(ctx, incarnation)
+	}
+}
+
 // addToRow writes the row under the condition that it is as it was read, so that no departure in it is
 // lost. The other departures of the row are kept.
 func (k *departureKeeper) addToRow(ctx context.Context, departed registration.Incarnation) error {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -201,8 +201,11 @@
 	if before.MemberIndex != after.MemberIndex || before.MembersKnown() != after.MembersKnown() {
 		n.updateRetryBudget(after)
 	}
-	if !before.MembersKnown() && after.MembersKnown() {
+	switch {
+	case !before.MembersKnown() && after.MembersKnown():
 		go n.departures.askHolders(n.lifetime)
+	case before.MembersRevision.Era != after.MembersRevision.Era:
+		go n.departures.recordAgain(n.lifetime)
 	}
 	if before.Server == after.Server {
 		return
