httpconn, host: a response whose status HTTP does not have is an error

Callers saw (on other systems): an answer with the status 000 from a server in trouble. Here, of the sidecar: a response with 000 counted as an interim one, so that the request waited for another until its deadline and ended with 504; 999 was passed on as it is. Of tarragond: both were passed on from the host, and the entry cannot write 000.

Cause: parsers of responses accept any three digits as a status.

Change: a status outside of 100 to 599 ends the exchange as one whose answer was lost, on the connection that is then closed.

--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -196,6 +196,10 @@
 }
 
 func (h *Host) readReply(ctx context.Context, response *http.Response, r *forward.Request) *forward.Reply {
+	if !forward.IsValidStatus(response.StatusCode) {
+		response.Body.Close()
+		return forward.ErrorReply(codes.AnswerLost.New("the response of the backend server has the invalid status %03d", response.StatusCode))
+	}
 	if response.Header.Get(api.HeaderNotRun) == "1" {
 		response.Body.Close()
 		return forward.ErrorReply(codes.ServerShed.New("the backend server shed the request"))
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -160,6 +160,21 @@
 	}
 }
 
+// Guards against a response with the status 000, which is no HTTP status, that ends the exchange with the entry
+// without a reply.
+func TestResponseWithAnInvalidStatusIsAnError(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		f := newFixture(t, func(conn net.Conn, id string) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 %s X\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, api.HeaderRequestID, id)
+			return true
+		})
+		reply := f.host.Serve(context.Background(), request("1", http.MethodGet, true))
+		if reply.Err == nil || reply.Err.Code.Number != codes.AnswerLost.Number {
+			t.Errorf("status %s: got %+v", status, reply)
+		}
+	}
+}
+
 // TestTruncatedResponseIsAnError guards against returning a truncated response as a
 // complete one.
 func TestTruncatedResponseIsAnError(t *testing.T) {
--- a/internal/httpconn/do.go
+++ b/internal/httpconn/do.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/tarragonford/tarragonford/internal/forward"
 	"github.com/tarragonford/tarragonford/internal/limit"
 )
 
@@ -184,6 +185,9 @@
 		if err != nil {
 			return nil, doNotReuse, err
 		}
+		if !forward.IsValidStatus(response.StatusCode) {
+			return nil, doNotReuse, fmt.Errorf("the response has the invalid status %03d", response.StatusCode)
+		}
 		if response.StatusCode < http.StatusOK {
 			if response.StatusCode == http.StatusSwitchingProtocols {
 				return nil, doNotReuse, errors.New("unexpected 101 Switching Protocols response")
