--- a/internal/sidecar/board.go
+++ b/internal/sidecar/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,19 @@
 	Service    string `json:"service"`
 }
 
+// validate checks a member that was read from the row with a key.
+func (m Member) validate(key string) error {
+	if m.ID != key || m.Service == "" {
+		return trace.BadParameter("the row of node %q names node %q of service %q", key, m.ID, m.Service)
+	}
+	for _, addr := range []string{m.Addr, m.Beacon} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return trace.BadParameter("invalid address: %v", err)
+		}
+	}
+	return nil
+}
+
 // View is an immutable snapshot of the control state.
 type View struct {
 	// MemberIndex lists the nodes.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -343,6 +343,9 @@
 // ConfigVersion returns the version of the configuration in force; 0 if there is none.
 func (n *Node) ConfigVersion() uint64 { return n.control.View().configVersion() }
 
+// Members returns the nodes that this one knows, by ID.
+func (n *Node) Members() map[string]Member { return n.control.View().Members }
+
 // Close ends Run immediately, without a graceful stop.
 func (n *Node) Close() { n.cancel() }
 
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -443,7 +443,11 @@
 	}
 	for _, row := range rows {
 		member := memberRow{Revision: currency.Revision{Era: at.Era, Version: row.Version}}
-		if err := json.Unmarshal(row.Value, &member.Member); err != nil || member.ID != row.Key {
+		err := json.Unmarshal(row.Value, &member.Member)
+		if err == nil {
+			err = member.validate(row.Key)
+		}
+		if err != nil {
 			s.log.Error("invalid member row", zap.String("key", row.Key), zap.Error(err))
 			continue
 		}
