--- a/internal/currency/currency_test.go
+++ b/internal/currency/currency_test.go
@@ -339,4 +339,7 @@
 	w.Stored(12)
 	_, ok = w.Proof(2 * time.Minute)
 	g.Expect(ok).To(BeTrue())
+	w.Unreadable()
+	_, ok = w.Proof(2 * time.Minute)
+	g.Expect(ok).To(BeFalse(), "what the store holds may be newer")
 }
--- a/internal/currency/witness.go
+++ b/internal/currency/witness.go
@@ -31,6 +31,9 @@
 // Stored records that the store holds a version, in the era observed last.
 func (w *Witness) Stored(version uint64) { w.stored = max(w.stored, version) }
 
+// Unreadable records that the store holds a version that cannot be read, which may be newer than all others.
+func (w *Witness) Unreadable() { w.stored = 0 }
+
 // Proof returns what a reading proves whose question was asked at a time; false if nothing. A store that
 // names no era is never restored.
 func (w *Witness) Proof(asked time.Duration) (Proof, bool) {
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -331,9 +331,12 @@
 	if row.Key != s.configuration.Key {
 		return
 	}
-	if version, valid := s.applyDocument(row.Value, "store"); valid {
-		s.witness.Stored(version)
+	version, valid := s.applyDocument(row.Value, "store")
+	if !valid {
+		s.witness.Unreadable()
+		return
 	}
+	s.witness.Stored(version)
 }
 
 // applyDocument puts a configuration in force if it is newer than the current one. It returns the
