--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -146,7 +146,11 @@
 	k.mu.Lock()
 	departed = append(departed, k.departed...)
 	k.mu.Unlock()
-	for _, incarnation := range departed[max(len(departed)-recordedDepartures, 0):] {
+	departed = departed[max(len(departed)-recordedDepartures, 0):]
+	if len(departed) > 0 {
+		k.log.Info("departures recorded again", zap.Int("departures", len(departed)))
+	}
+	for _, incarnation := range departed {
 		k.record(ctx, incarnation)
 	}
 }
--- a/internal/sidecar/sync.go
+++ b/internal/sidecar/sync.go
@@ -398,6 +398,7 @@
 			return
 		}
 		for s.lacksSelf(ctx) {
+			s.log.Info("own member row written again", zap.Uint64("era", s.control.View().MembersRevision.Era))
 			s.writeSelf(ctx)
 			sleep(ctx, selfWritePause)
 		}
