--- a/internal/currency/currency_test.go
+++ b/internal/currency/currency_test.go
@@ -166,6 +166,20 @@
 	}
 }
 
+// checkRelied checks that no node relies on a version for too long, and returns how many nodes rely on theirs.
+func (m *model) checkRelied(t *rapid.T, policy Policy) (relying int) {
+	for i, n := range m.nodes {
+		if !policy.Holds(n.proofs, n.version, m.clock(n)) {
+			continue
+		}
+		relying++
+		if n.version < uint64(len(m.acked)) && m.now-m.acked[n.version] > policy.Within {
+			t.Fatalf("node %d relies on version %d, %v after it was superseded", i, n.version, m.now-m.acked[n.version])
+		}
+	}
+	return relying
+}
+
 // Guards against a key that is accepted later than the policy allows after its withdrawal, under
 // cuts (questions without answers), suspensions (answers that arrive after any time), restarts (no
 // proofs, any version from another node), chains of nodes that ask each other, and clocks that
@@ -199,15 +213,7 @@
 					m.arrive(rapid.IntRange(0, len(m.flying)-1).Draw(t, "answer"))
 				}
 			}
-			for i, n := range m.nodes {
-				if !policy.Holds(n.proofs, n.version, m.clock(n)) {
-					continue
-				}
-				accepted++
-				if n.version < uint64(len(m.acked)) && m.now-m.acked[n.version] > policy.Within {
-					t.Fatalf("node %d relies on version %d, %v after it was superseded", i, n.version, m.now-m.acked[n.version])
-				}
-			}
+			accepted += m.checkRelied(t, policy)
 		}
 	})
 	NewWithT(t).Expect(accepted).To(BeNumerically(">", 100), "the test must reach states in which keys are accepted")
@@ -306,15 +312,7 @@
 					m.arrive(rapid.IntRange(0, len(m.flying)-1).Draw(t, "answer"))
 				}
 			}
-			for i, n := range m.nodes {
-				if !policy.Holds(n.proofs, n.version, m.clock(n)) {
-					continue
-				}
-				accepted++
-				if n.version < uint64(len(m.acked)) && m.now-m.acked[n.version] > policy.Within {
-					t.Fatalf("node %d relies on version %d, %v after it was superseded", i, n.version, m.now-m.acked[n.version])
-				}
-			}
+			accepted += m.checkRelied(t, policy)
 		}
 	})
 	NewWithT(t).Expect(accepted).To(BeNumerically(">", 100), "the test must reach states in which keys are accepted")
