--- a/internal/sidecar/doc.go
+++ b/internal/sidecar/doc.go
@@ -17,6 +17,8 @@
 // A few nodes of each data centre, the watchers, watch the tables of the store. Beacons announce
 // which nodes watch and which versions a node has. When a watcher is lost, the next node takes
 // over without any further message exchange, and the other nodes fetch missing updates from a
-// peer. Membership changes are merged by store version, whatever path they arrive by. A node that
+// peer. Membership changes are merged by store revision, whatever path they arrive by. A node that
 // hears of no watcher watches the store itself, and every node polls the tables from time to time.
+// After the store has come back from an older copy, nodes read the tables whole, keep the members
+// that the copy lacks, and write again what they had written.
 package sidecar
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -18,7 +18,7 @@
 	Removed  bool              `json:"removed,omitempty"`
 }
 
-// memberChanges holds the changes of the members table after some version, or all of its rows if
+// memberChanges holds the changes of the members table after some revision, or all of its rows if
 // Complete is set.
 type memberChanges struct {
 	// Revision is the one up to which no change is missing.
