Show that nodes keep an old manifest after connections to the store went silent

Cause: a watch whose answer is lost is found only by its time-out, and the watches are spaced for changes that are acknowledged 3 s after such an event, not for sooner ones. Change: review/10, a script: the open connections of all nodes to the store go silent, and the manifest moves a route 0.9 s later, nine times.

--- a/review/cases2/main_test.go
+++ b/review/cases2/main_test.go
@@ -21,7 +21,7 @@
 
 // cases are the checks by the number of their folder.
 var cases = map[string]func(*rig) (verdict, error){
-	"6": unsignedAnswers, "7": waitingAtAStop, "8": rowOfAnotherPart, "9": partWithoutWeight,
+	"6": unsignedAnswers, "7": waitingAtAStop, "8": rowOfAnotherPart, "9": partWithoutWeight, "10": silentWatches,
 }
 
 // TestMain runs one case: its number and its folder are the arguments after the flags.
