sidecar: a stopping node does not let requests wait for a server that cannot come

Cause: the wait for a server that accepts a request ended at 0.6 of the objective, fixed at the arrival of the request, whatever happened to the node. Evidence: refusals came after 4.79 s = 0.6 x 8 s, and the requests for which that time was after the stop limit got nothing.

Change: on a stopping node the wait ends after 0.4 of the time that is left, and at once if no server of the service may accept the request. The refusal is true, and the caller still has time to send the request to another node.

--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -224,6 +224,24 @@
 	return soonest
 }
 
+// AnyMayAccept reports whether one of the candidates may accept requests: its last report says that its
+// server is open, or there is no recent one and its node is not known to be unreachable.
+func (p *Picker) AnyMayAccept(now time.Time, candidates []Candidate) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range candidates {
+		s := p.state(candidates[i].ID)
+		if s.age(now) > maxReportAge {
+			if !s.silent(now) {
+				return true
+			}
+		} else if s.load.Open {
+			return true
+		}
+	}
+	return false
+}
+
 // RateLimitedFor returns the time for which the rate limits of all candidates that accept requests
 // keep out a request of the priority; 0 if one has no limit or has not reported lately.
 func (p *Picker) RateLimitedFor(now time.Time, candidates []Candidate, priority int) time.Duration {
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -189,3 +189,22 @@
 	p.Report(start, "far", last)
 	g.Expect(chosen(p, Query{Retry: true, Exclude: exclude})).To(Equal("far"))
 }
+
+// Guards against a stopping node that keeps requests waiting for a service whose servers have all left, and against one
+// that refuses them while a server may still accept them.
+func TestOnlyServersThatMayAcceptAreWorthAWait(t *testing.T) {
+	g := NewWithT(t)
+	p := New("a", "r")
+	near := nodes[:1]
+	g.Expect(p.AnyMayAccept(start, nil)).To(BeFalse(), "no server")
+	g.Expect(p.AnyMayAccept(start, near)).To(BeTrue(), "nothing is known of the server yet")
+	closed := healthy(0)
+	closed.Open = false
+	p.Report(start, "near", closed)
+	g.Expect(p.AnyMayAccept(start, near)).To(BeFalse())
+	g.Expect(p.AnyMayAccept(start.Add(2*maxReportAge), near)).To(BeTrue(), "the report is too old")
+	p.MarkUnreachable(start.Add(2*maxReportAge), "near")
+	g.Expect(p.AnyMayAccept(start.Add(2*maxReportAge), near)).To(BeFalse(), "nothing was heard since the node could not be reached")
+	p.Report(start.Add(3*maxReportAge), "near", healthy(6))
+	g.Expect(p.AnyMayAccept(start.Add(3*maxReportAge), near)).To(BeTrue(), "a full server accepts requests later")
+}
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -36,7 +36,7 @@
 	// maxRateRetryAfter bounds the delay because of rate limits, which is known and not estimated.
 	maxRateRetryAfter = 10 * time.Second
 	// stopQueueShare is the fraction of the time until the stop limit that requests of a stopping
-	// node may spend in a queue.
+	// node may spend in a queue, or waiting for a server that accepts them.
 	stopQueueShare = 0.4
 )
 
@@ -59,7 +59,8 @@
 				break
 			}
 			x.rateWait = x.certainRateWait()
-			if time.Now().Add(x.rateWait).After(waitUntil) || !x.waitForServer(ctx, waitUntil) {
+			until := x.waitLimit(time.Now(), waitUntil)
+			if time.Now().Add(x.rateWait).After(until) || !x.waitForServer(ctx, until) {
 				break
 			}
 			x.rateWait = 0
@@ -149,6 +150,28 @@
 	return x.entry.picker.RateLimitedFor(time.Now(), pool.Candidates, gate.Rank(x.request.call, x.request.priority))
 }
 
+// waitLimit returns until when the request may wait for a server that accepts it. until is the limit on a
+// node that is not stopping. On one that is, the request needs time to run after the wait, and
+// does not wait if no server may accept it: the caller can still send it to another node.
+func (x *exchange) waitLimit(now, until time.Time) time.Time {
+	if x.view.StopAt.IsZero() {
+		return until
+	}
+	pool := x.view.Services[x.service]
+	if pool == nil || !x.entry.picker.AnyMayAccept(now, pool.Candidates) {
+		return now
+	}
+	since := x.started
+	if since.Before(x.view.StopSince) {
+		since = x.view.StopSince
+	}
+	limit := since.Add(time.Duration(stopQueueShare * float64(x.view.StopAt.Sub(since))))
+	if limit.Before(until) {
+		return limit
+	}
+	return until
+}
+
 // waitForServer pauses before the next attempt to find a server that accepts the request. It
 // returns false if there is no time left.
 func (x *exchange) waitForServer(ctx context.Context, until time.Time) bool {
