sidecar: requests in a queue and at the end of a stop get an answer

Callers saw: requests that waited in the queue of a host when the node that took them got SIGTERM ended without an answer if the queue took them for longer than the stop limit; if the host stopped instead, 502 for requests that had never run.

Cause: the limit of a wait in a queue was set when the request was sent to the host. Only requests sent after the SIGTERM took it into account.

Change: a queue refuses a request once a run would likely outlast the node, or the node that took it, which tells its stop in a beacon at once. At the end of a stop the context of each request is cancelled 0.45 s before the process is killed, so that it gets a refusal, or 502 if it was sent to a server. A request accepted just before the listeners close may run until then.

--- a/internal/pick/reports.go
+++ b/internal/pick/reports.go
@@ -178,6 +178,17 @@
 	s.excludedUntil = now.Add(s.backoff)
 }
 
+// StopsIn returns the time until a node stops, by its last report; false if it said nothing of a stop.
+func (p *Picker) StopsIn(now time.Time, id string) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.nodes[id]
+	if !ok || s.load.StopsIn <= 0 {
+		return 0, false
+	}
+	return s.load.StopsIn - s.age(now), true
+}
+
 // Retain forgets the nodes that known does not report.
 func (p *Picker) Retain(known func(id string) bool) {
 	p.mu.Lock()
--- a/internal/sidecar/board.go
+++ b/internal/sidecar/board.go
@@ -53,10 +53,11 @@
 	MembersRevision, MembersNewest currency.Revision
 	// Server is the local backend server; its ID is empty if none is registered.
 	Server registration.Server
-	// Leaving is set once the process is stopping. StopSince is then the start of the stop, and
-	// StopAt the time at which requests that still run are cut off.
-	Leaving           bool
-	StopSince, StopAt time.Time
+	// Leaving is set once the process is stopping. StopSince is then the start of the stop, StopAt the
+	// time by which new requests must have ended, and EndsAt the time at which requests that still
+	// run are ended.
+	Leaving                   bool
+	StopSince, StopAt, EndsAt time.Time
 }
 
 // Ready reports whether callers may use the node.
@@ -90,8 +91,8 @@
 	index    *MemberIndex
 	registry *registration.Registry
 	leaving  bool
-	// stopSince and stopAt are set together with leaving.
-	stopSince, stopAt time.Time
+	// stopSince, stopAt and endsAt are set together with leaving.
+	stopSince, stopAt, endsAt time.Time
 }
 
 // ControlLoop owns the control state, applies changes to it on a single goroutine, and publishes
@@ -179,6 +180,7 @@
 		Leaving:         s.leaving,
 		StopSince:       s.stopSince,
 		StopAt:          s.stopAt,
+		EndsAt:          s.endsAt,
 	}
 	if server, ok := s.registry.Current(); ok {
 		view.Server = server
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -135,7 +135,7 @@
 	}
 	asked := time.Now()
 	if !h.gate.Running(ticket) {
-		if reason := h.wait(ctx, ticket, r.queueLimit); reason != gate.NotRefused {
+		if reason := h.wait(ctx, ticket, r); reason != gate.NotRefused {
 			return refuse(reason, 0)
 		}
 	}
@@ -147,8 +147,8 @@
 
 // wait returns when the request may run, or the reason why it may not. Requests that were admitted
 // later may run first, so the actual wait needs a bound in addition to the expected one.
-func (h *host) wait(ctx context.Context, ticket *gate.Ticket, queueLimit time.Duration) gate.Refusal {
-	ctx, cancel := context.WithTimeout(ctx, queueLimit)
+func (h *host) wait(ctx context.Context, ticket *gate.Ticket, r *hopRequest) gate.Refusal {
+	ctx, cancel := context.WithTimeout(ctx, r.queueLimit)
 	defer cancel()
 	for {
 		// The end of a run admits waiting requests, but not those that a rate limit keeps, which the
@@ -162,7 +162,11 @@
 		case reason := <-ticket.Decision():
 			return reason
 		case <-time.After(check):
-			h.gate.AdmitWaiting(time.Now())
+			now := time.Now()
+			if h.stopsBeforeEnd(now, r) {
+				return h.leaveQueue(now, ticket, r)
+			}
+			h.gate.AdmitWaiting(now)
 		case <-ctx.Done():
 			h.gate.Cancel(time.Now(), ticket)
 			if untilRate > 0 {
@@ -173,6 +177,30 @@
 	}
 }
 
+// stopsBeforeEnd reports whether this node, or the one that took the request, is likely to stop before a run
+// that begins now has ended.
+func (h *host) stopsBeforeEnd(now time.Time, r *hopRequest) bool {
+	run := serviceTimeFactor * h.gate.Load(now).Service
+	view := h.control.View()
+	if view.Leaving && view.EndsAt.Sub(now) < run {
+		return true
+	}
+	entry, known := view.byAddr[r.inbound]
+	if !known {
+		return false
+	}
+	left, stopping := h.picker.StopsIn(now, entry)
+	return stopping && left < run
+}
+
+// leaveQueue takes a request out of the queue because of a stop. If its turn has just come, it has
+// not been sent yet either.
+func (h *host) leaveQueue(now time.Time, ticket *gate.Ticket, r *hopRequest) gate.Refusal {
+	h.gate.Cancel(now, ticket)
+	h.log.Info("request left the queue because of a stop", zap.String("request", r.id), zap.String("entry", r.inbound))
+	return gate.Closed
+}
+
 // run sends the request to the server. server is the one registered at admission; if it has left
 // since then, the request is refused.
 func (h *host) run(ctx context.Context, server registration.Server, ticket *gate.Ticket, r *hopRequest) *hopReply {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -91,6 +91,9 @@
 	// lifetime is cancelled when the process ends.
 	lifetime context.Context
 	cancel   context.CancelFunc
+	// stopped is cancelled when a stopping node ends the requests that still run.
+	stopped     context.Context
+	endRequests context.CancelFunc
 	// callers and hops count the requests in flight.
 	callers, hops atomic.Int64
 }
@@ -105,6 +108,7 @@
 		n.gate.SetRateBurst(s.RateBurst)
 	}
 	n.lifetime, n.cancel = context.WithCancel(context.Background())
+	n.stopped, n.endRequests = context.WithCancel(n.lifetime)
 	self := Member{ID: s.Node, Addr: s.Inbound, Beacon: s.Beacon, DataCentre: s.DataCentre, Region: s.Region, Service: s.Service}
 	n.control = NewControlLoop(self, n.onStateChange)
 	if !s.FirstStart {
@@ -188,7 +192,7 @@
 
 // onStateChange reacts to a change of the control state. It runs on the control goroutine.
 func (n *Node) onStateChange(before, after *View) {
-	if before.MembersNewest != after.MembersNewest {
+	if before.MembersNewest != after.MembersNewest || before.Leaving != after.Leaving {
 		n.beacons.requestBeacon()
 	}
 	if before.Config != after.Config {
@@ -411,8 +415,8 @@
 func (n *Node) listen() ([]*http.Server, []net.Listener, error) {
 	hop := &hopHandler{host: n.entry.host, service: n.settings.Service, memory: n.memory, headers: n.deps.Headers, onVersion: n.onPeerVersion}
 	handlers := []endpoint{
-		{n.settings.Outbound, countInFlight(&n.callers, n.entry), callerAddr},
-		{n.settings.Inbound, countInFlight(&n.hops, hop), nodeAddr},
+		{n.settings.Outbound, n.inFlight(&n.callers, n.entry), callerAddr},
+		{n.settings.Inbound, n.inFlight(&n.hops, hop), nodeAddr},
 		{n.settings.Ready, n.deps.ReadyHandler(func() bool { return n.control.View().Ready() }), controlAddr},
 		{n.settings.Registration, n.deps.RegistrationHandler(n), controlAddr},
 	}
@@ -439,11 +443,16 @@
 	return servers, listeners, nil
 }
 
-func countInFlight(inFlight *atomic.Int64, handler http.Handler) http.Handler {
+// inFlight counts the requests of a handler, and cancels their contexts at the end of a stop, so that each
+// still gets a response.
+func (n *Node) inFlight(count *atomic.Int64, handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		inFlight.Add(1)
-		defer inFlight.Add(-1)
-		handler.ServeHTTP(w, r)
+		count.Add(1)
+		defer count.Add(-1)
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(n.stopped, cancel)()
+		handler.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
--- a/internal/sidecar/roster.go
+++ b/internal/sidecar/roster.go
@@ -19,6 +19,8 @@
 	Services map[string]*Pool
 	// byKey holds the nodes by their beacon keys, except for keys that several nodes share.
 	byKey map[beacon.NodeHash]Member
+	// byAddr holds the IDs of the other nodes by their hop addresses.
+	byAddr map[string]string
 	// localPeers are the other nodes of the local data centre, and remotePeers those of each other
 	// data centre, all ordered by ID.
 	localPeers  []peer
@@ -54,6 +56,7 @@
 		Services:   map[string]*Pool{},
 		localAddrs: map[string]bool{},
 		byKey:      make(map[beacon.NodeHash]Member, len(members)),
+		byAddr:     make(map[string]string, len(members)),
 		localKeys:  []beacon.NodeHash{beacon.HashNode(self.ID)},
 	}
 	sorted := make([]Member, 0, len(members))
@@ -65,6 +68,9 @@
 	for _, member := range sorted {
 		r.Members[member.ID] = member
 		r.addToPool(member)
+		if member.ID != self.ID {
+			r.byAddr[member.Addr] = member.ID
+		}
 		key := beacon.HashNode(member.ID)
 		if _, taken := r.byKey[key]; taken {
 			shared[key] = true
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -16,7 +16,8 @@
 	// exitMargin is the time before the stop limit by which all connections are closed. The process
 	// then ends its goroutines and writes its log, which takes some tens of ms of a slow processor.
 	exitMargin = 300 * time.Millisecond
-	// stopMargin is the time before the stop limit at which requests that still run are cut off.
+	// stopMargin is the time before the stop limit at which requests that still run are ended, so that
+	// their responses are sent before the connections are closed.
 	stopMargin = exitMargin + 150*time.Millisecond
 	// lateObjectiveShare is the fraction of the time until the stop limit that the latency
 	// objective of a request may take if it arrives after readinessDelay.
@@ -38,7 +39,7 @@
 type shutdown struct {
 	node    *Node
 	started time.Time
-	// end is the time at which requests that still run are cut off.
+	// end is the time at which requests that still run are ended.
 	end time.Time
 }
 
@@ -48,9 +49,10 @@
 	n.log.Info("stopping", zap.Int64("in_flight", n.callers.Load()+n.hops.Load()))
 	s := &shutdown{node: n, started: time.Now()}
 	s.end = s.started.Add(n.settings.StopLimit - stopMargin)
-	if err := n.control.Do(ctx, func(st *state) { st.leaving, st.stopSince, st.stopAt = true, s.started, s.end }); err != nil {
+	if err := n.control.Do(ctx, func(st *state) { st.leaving, st.stopSince, st.stopAt, st.endsAt = true, s.started, s.end, s.end }); err != nil {
 		n.log.Warn("failed to announce the stop to the control loop", zap.Error(err))
 	}
+	time.AfterFunc(time.Until(s.end), n.endRequests)
 	if n.control.View().Server.Leaving {
 		// The server beside this node has left, and the node leaves with it. If another server
 		// starts here, the node starts again and writes a new row.
@@ -84,6 +86,21 @@
 
 // close closes the listeners, serves the requests read by then, and closes the connections.
 func (s *shutdown) close(ctx context.Context, servers []*http.Server) {
+	s.closeIdle(ctx, servers)
+	// A request that arrived just before the listeners were closed may run.
+	for time.Now().Before(s.end) && s.inFlight() > 0 {
+		sleep(ctx, drainPollInterval)
+	}
+	s.closeIdle(ctx, servers)
+	s.node.log.Info("stopped", zap.Int64("cut_off", s.inFlight()), zap.Duration("took", time.Since(s.started)))
+}
+
+// inFlight returns the number of requests that have not ended.
+func (s *shutdown) inFlight() int64 { return s.node.callers.Load() + s.node.hops.Load() }
+
+// closeIdle closes the listeners and each connection as its request ends, for shutdownTimeout or until all
+// connections must be closed.
+func (s *shutdown) closeIdle(ctx context.Context, servers []*http.Server) {
 	end := time.Now().Add(shutdownTimeout)
 	if last := s.end.Add(stopMargin - exitMargin); last.Before(end) {
 		end = last
@@ -98,5 +115,4 @@
 		})
 	}
 	group.Wait()
-	s.node.log.Info("stopped", zap.Int64("cut_off", s.node.callers.Load()+s.node.hops.Load()), zap.Duration("took", time.Since(s.started)))
 }
