route: a service without weight is no part of a split

Cause: the state of a sequence was not tied to the weights it is for. A sequence began with random credits, also for services without weight; a request with an older configuration could leave credit behind for one; and each change of the configuration, whatever it changed, started all sequences anew, which made the first request a frequent one.

A route whose parts have no weight uses its own service.

--- a/internal/sidecar/explain.go
+++ b/internal/sidecar/explain.go
@@ -126,9 +126,12 @@
 		total += share.Weight
 	}
 	for _, share := range x.route.Split {
+		if share.Weight == 0 {
+			continue
+		}
 		result.Services = append(result.Services, x.explainService(share.Service, share.Weight/total))
 	}
-	if len(x.route.Split) == 0 {
+	if total == 0 {
 		result.Services = append(result.Services, x.explainService(x.route.Service, 1))
 	}
 	return result
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -196,7 +196,7 @@
 		n.beacons.requestBeacon()
 	}
 	if before.Config != after.Config {
-		n.splitter.Reset()
+		n.splitter.Retain(func(route string) bool { _, ok := after.Config.Routes[route]; return ok })
 		// Beacons announce the version to nodes that have not received it from the store.
 		n.beacons.requestBeacon()
 		n.deps.Telemetry.Metrics.ConfigVersion.Set(int64(after.Config.Version))
