httpconn: a Keep-Alive timeout of 0 ends the connection

Callers could see: a request sent on a connection that the server had announced to close at once; if it was lost there, a request that is not idempotent got 502.

Cause: a timeout of 0 seconds was read like an absent one, as no limit.

Change: a timeout of 0 means that the connection is not used again.

Measured: TestKeepAliveOfZeroSecondsEndsTheConnection failed before (the connection was reused) and passes.

--- a/internal/httpconn/do.go
+++ b/internal/httpconn/do.go
@@ -245,7 +245,11 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		if limit, err := strconv.Atoi(value); err == nil && limit > 0 {
+		limit, err := strconv.Atoi(value)
+		switch {
+		case err == nil && limit == 0:
+			return doNotReuse
+		case err == nil && limit > 0:
 			return time.Duration(limit) * time.Second
 		}
 	}
