registration: a departure without a start time stands for each start up to then

Cause: a call without a start time, before the node had a report of the server or when it had only adopted it, was recorded as {id, 0}, and hasLeft compared for equality with {id, born}. Evidence: a unit test with no restart after the departure and one late report. The same unknown part was compared like a known one in answers that announce a departure, and in departures that hops name.

Change: such a departure has the time by which the server had started, in the registry, the row, the holders and hops, and covers each start up to it; a later start is a new life and is used at once. What is saved is the departure that was named, not the incarnation it may stand for. The log tells of each deregistration.

--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -34,13 +34,46 @@
 
 // Incarnation identifies one start of a backend server.
 type Incarnation struct {
-	ID        string `json:"id"`
-	StartedMs int64  `json:"born"`
+	ID string `json:"id"`
+	// StartedMs is the start in Unix milliseconds; 0 if unknown.
+	StartedMs int64 `json:"born"`
+	// StartedByMs is a time by which an incarnation with an unknown start was running, in Unix
+	// milliseconds; 0 if that is unknown too.
+	StartedByMs int64 `json:"born_by,omitempty"`
 }
 
-// Matches reports whether two incarnations may be the same one: a start time of 0 is unknown.
+// Matches reports whether two incarnations may be the same one.
 func (i Incarnation) Matches(other Incarnation) bool {
-	return i.ID == other.ID && (i.StartedMs == other.StartedMs || i.StartedMs == 0 || other.StartedMs == 0)
+	if i.ID != other.ID {
+		return false
+	}
+	switch {
+	case i.StartedMs == other.StartedMs:
+		return true
+	case i.StartedMs == 0:
+		return i.StartedByMs == 0 || other.StartedMs <= i.StartedByMs
+	case other.StartedMs == 0:
+		return other.StartedByMs == 0 || i.StartedMs <= other.StartedByMs
+	}
+	return false
+}
+
+// covers reports whether the departure of i means that another incarnation has left. Without a start time, it stands
+// for each incarnation of the ID that had started by then: a report that is late must not undo it.
+func (i Incarnation) covers(other Incarnation) bool {
+	return i == other || i.StartedMs == 0 && i.StartedByMs > 0 && i.Matches(other)
+}
+
+// AddDeparture adds a departure to a list, oldest first. It drops earlier departures that the new one repeats, as
+// when a server deregisters again because it got no acknowledgement.
+func AddDeparture(list []Incarnation, departed Incarnation) []Incarnation {
+	list = slices.DeleteFunc(list, func(known Incarnation) bool {
+		return known.StartedMs == 0 && known.StartedByMs > 0 && departed.covers(known) && departed.StartedByMs > known.StartedByMs
+	})
+	if slices.Contains(list, departed) {
+		return list
+	}
+	return append(list, departed)
 }
 
 // Server is the current incarnation of the backend server.
@@ -49,6 +82,8 @@
 	Addr    string
 	Slots   int
 	Leaving bool
+	// LeftAs is the departure by which a leaving server has left.
+	LeftAs Incarnation
 	// Unconfirmed is set if the server may have left: while an earlier process of the node ran, or
 	// because another incarnation with its ID has left.
 	Unconfirmed bool
@@ -111,7 +146,14 @@
 func (r *Registry) RestoreDeparture(departed Incarnation) {
 	r.recordDeparture(departed)
 	if r.known && r.current.Matches(departed) {
-		r.current.Leaving = true
+		r.current.leave(departed)
+	}
+}
+
+// leave sets the departure of the server, unless it has one.
+func (s *Server) leave(departed Incarnation) {
+	if !s.Leaving {
+		s.Leaving, s.LeftAs = true, departed
 	}
 }
 
@@ -150,9 +192,11 @@
 		Incarnation: incarnation,
 		Addr:        report.Addr,
 		Slots:       report.Slots,
-		Leaving:     r.hasLeft(incarnation),
 		ReportedAt:  now,
 	}
+	if departed, left := r.departureOf(incarnation); left {
+		r.current.leave(departed)
+	}
 	r.updateConfirmed()
 	if report.WarmUp > 0 {
 		r.current.WarmUntil = now.Add(report.WarmUp)
@@ -167,7 +211,7 @@
 		return false
 	}
 	r.known = true
-	r.current = Server{Incarnation: Incarnation{ID: id}, Addr: addr, Slots: slots, ReportedAt: now}
+	r.current = Server{Incarnation: Incarnation{ID: id, StartedByMs: now.UnixMilli()}, Addr: addr, Slots: slots, ReportedAt: now}
 	r.updateConfirmed()
 	return true
 }
@@ -201,17 +245,21 @@
 // rival count.
 func (r *Registry) replaceCurrent() {
 	if r.known && !slices.Contains(r.replaced, r.current.Incarnation) {
-		r.replaced = appendBounded(r.replaced, r.current.Incarnation)
+		r.replaced = bounded(append(r.replaced, r.current.Incarnation))
 	}
 	r.reports = max(r.rival.reports-1, 0)
 }
 
 // Deregister records the departure of an incarnation and returns it. A start time of 0 stands for the
-// current incarnation of the ID.
-func (r *Registry) Deregister(id string, startedMs int64) Incarnation {
+// current incarnation of the ID, or, if there is none, for any that has started by now.
+func (r *Registry) Deregister(now time.Time, id string, startedMs int64) Incarnation {
 	incarnation := Incarnation{ID: id, StartedMs: startedMs}
-	if startedMs == 0 && r.known && r.current.ID == id {
-		incarnation.StartedMs = r.current.StartedMs
+	switch {
+	case startedMs != 0:
+	case r.known && r.current.ID == id:
+		incarnation = r.current.Incarnation
+	default:
+		incarnation.StartedByMs = now.UnixMilli()
 	}
 	r.depart(incarnation)
 	return incarnation
@@ -225,7 +273,7 @@
 		return
 	}
 	if r.current.Matches(incarnation) {
-		r.current.Leaving = true
+		r.current.leave(incarnation)
 		return
 	}
 	r.contested = true
@@ -233,10 +281,11 @@
 }
 
 // MarkDeparted records the departure of the current incarnation after its responses showed that it
-// is leaving, or that its address belongs to another one.
+// is leaving, or that its address belongs to another one. The incarnation is the one that was current
+// when the request was sent, whose start time may have become known since.
 func (r *Registry) MarkDeparted(incarnation Incarnation) {
-	if r.known && r.current.Incarnation == incarnation {
-		r.current.Leaving = true
+	if r.known && r.current.Matches(incarnation) {
+		r.current.leave(incarnation)
 		r.recordDeparture(incarnation)
 	}
 }
@@ -245,18 +294,25 @@
 func (r *Registry) Current() (Server, bool) { return r.current, r.known }
 
 func (r *Registry) recordDeparture(departed Incarnation) {
-	if !r.hasLeft(departed) {
-		r.departed = appendBounded(r.departed, departed)
-	}
+	r.departed = bounded(AddDeparture(r.departed, departed))
 }
 
 func (r *Registry) hasLeft(incarnation Incarnation) bool {
-	return slices.Contains(r.departed, incarnation)
+	_, left := r.departureOf(incarnation)
+	return left
+}
+
+// departureOf returns the departure by which an incarnation has left, and false if there is none.
+func (r *Registry) departureOf(incarnation Incarnation) (Incarnation, bool) {
+	i := slices.IndexFunc(r.departed, func(departed Incarnation) bool { return departed.covers(incarnation) })
+	if i < 0 {
+		return Incarnation{}, false
+	}
+	return r.departed[i], true
 }
 
-// appendBounded appends to a list and drops its oldest entries beyond maxKnown.
-func appendBounded(list []Incarnation, next Incarnation) []Incarnation {
-	list = append(list, next)
+// bounded drops the oldest entries of a list beyond maxKnown.
+func bounded(list []Incarnation) []Incarnation {
 	if len(list) > maxKnown {
 		list = slices.Delete(list, 0, len(list)-maxKnown)
 	}
--- a/internal/registration/registration_test.go
+++ b/internal/registration/registration_test.go
@@ -33,7 +33,7 @@
 	g := NewWithT(t)
 	r := New("measures")
 	r.Heartbeat(start, report("a", 100, 5))
-	r.Deregister("a", 0)
+	r.Deregister(start, "a", 0)
 	r.Heartbeat(start, report("a", 100, 6))
 	server, _ := r.Current()
 	g.Expect(server.Leaving).To(BeTrue())
@@ -120,7 +120,7 @@
 					contested = id
 				}
 			case 1:
-				r.Deregister(id, incarnation.StartedMs)
+				r.Deregister(start, id, incarnation.StartedMs)
 				departed[incarnation] = true
 				contested = id
 			default:
@@ -171,7 +171,7 @@
 func TestADepartureWithAnEarlierStartTimeTakesEffect(t *testing.T) {
 	for _, leave := range []func(r *Registry){
 		func(r *Registry) { r.Heartbeat(start, leaving(report("a", 1000, 2))) },
-		func(r *Registry) { r.Deregister("a", 1000) },
+		func(r *Registry) { r.Deregister(start, "a", 1000) },
 	} {
 		g := NewWithT(t)
 		r := New("measures")
@@ -238,7 +238,7 @@
 	g.Expect(adopted.Matches(server.Incarnation)).To(BeTrue())
 
 	for _, depart := range []func(r *Registry){
-		func(r *Registry) { r.Deregister("a", 100) },
+		func(r *Registry) { r.Deregister(start, "a", 100) },
 		func(r *Registry) { r.RestoreDeparture(Incarnation{ID: "a", StartedMs: 100}) },
 		func(r *Registry) { r.Heartbeat(start, leaving(report("a", 100, 5))) },
 	} {
@@ -252,3 +252,105 @@
 		g.Expect(r.Adopt(start, "a", "10.0.0.1:80", 6)).To(BeFalse())
 	}
 }
+
+// bornBefore and bornAfter are start times before and after the time at which the tests record departures.
+var bornBefore, bornAfter = start.UnixMilli() - 5000, start.UnixMilli() + 1
+
+// withoutStartTime are the ways in which a node records the departure of a server whose start time it does not know,
+// with the reports that the server may have sent before.
+var withoutStartTime = map[string]func(r *Registry){
+	"no report yet": func(r *Registry) { r.Deregister(start, "a", 0) },
+	"adopted": func(r *Registry) {
+		r.Adopt(start, "a", "10.0.0.1:80", 6)
+		r.Deregister(start, "a", 0)
+	},
+	"adopted, says in an answer that it leaves": func(r *Registry) {
+		r.Adopt(start, "a", "10.0.0.1:80", 6)
+		server, _ := r.Current()
+		r.MarkDeparted(server.Incarnation)
+	},
+	"another server reports": func(r *Registry) {
+		r.Heartbeat(start, report("b", bornBefore-1000, 3))
+		r.Deregister(start, "a", 0)
+	},
+	"restored":     func(r *Registry) { r.RestoreDeparture(Incarnation{ID: "a", StartedByMs: start.UnixMilli()}) },
+	"called twice": func(r *Registry) { r.Deregister(start.Add(-time.Second), "a", 0); r.Deregister(start, "a", 0) },
+	"late restored": func(r *Registry) {
+		r.Heartbeat(start, report("a", bornBefore, 1))
+		r.RestoreDeparture(Incarnation{ID: "a", StartedByMs: start.UnixMilli()})
+	},
+}
+
+// Guards against late reports that bring a server back into use whose departure was acknowledged before the node knew
+// its start time, as after a restart of the node (review, case 7).
+func TestALateReportDoesNotUndoADepartureWithoutAStartTime(t *testing.T) {
+	for name, depart := range withoutStartTime {
+		g := NewWithT(t)
+		r := New("measures")
+		depart(r)
+		for sequence := uint64(7); sequence < 10; sequence++ {
+			g.Expect(r.Heartbeat(start.Add(3*time.Second), report("a", bornBefore, sequence))).To(BeTrue())
+			server, _ := r.Current()
+			g.Expect(server.ID == "a" && !server.Leaving).To(BeFalse(), "%s: %+v", name, server)
+		}
+	}
+}
+
+// Guards against a server that is kept out of use after a restart under its ID, because a departure of its previous life
+// was recorded without a start time.
+func TestANewLifeIsUsedAtOnceAfterADepartureWithoutAStartTime(t *testing.T) {
+	for name, depart := range withoutStartTime {
+		g := NewWithT(t)
+		r := New("measures")
+		depart(r)
+		r.Heartbeat(start.Add(3*time.Second), report("a", bornAfter, 1))
+		server, _ := r.Current()
+		g.Expect(server.Incarnation).To(Equal(Incarnation{ID: "a", StartedMs: bornAfter}), name)
+		g.Expect(server.Leaving || server.Unconfirmed).To(BeFalse(), name)
+		r.Heartbeat(start.Add(3*time.Second), report("a", bornBefore, 9))
+		server, _ = r.Current()
+		g.Expect(server.StartedMs).To(Equal(bornAfter), "%s: a late report of the life before", name)
+	}
+}
+
+// Guards against an answer that announces the departure of a server and has no effect, because a report has told the
+// start time of the server since the request was sent.
+func TestADepartureTakesEffectAfterTheStartTimeBecameKnown(t *testing.T) {
+	g := NewWithT(t)
+	r := New("measures")
+	r.Adopt(start, "a", "10.0.0.1:80", 6)
+	sentTo, _ := r.Current()
+	r.Heartbeat(start, report("a", bornBefore, 5))
+	r.MarkDeparted(sentTo.Incarnation)
+	r.Heartbeat(start, report("a", bornBefore, 6))
+	server, _ := r.Current()
+	g.Expect(server.Leaving).To(BeTrue())
+	r.Heartbeat(start, report("a", bornAfter, 1))
+	r.MarkDeparted(sentTo.Incarnation)
+	server, _ = r.Current()
+	g.Expect(server.Leaving).To(BeFalse(), "the answer came from the life before")
+}
+
+// Guards against a departure named by another node that keeps a new life out of use: what is recorded must be the
+// departure that was named, not the incarnation that it may stand for.
+func TestADepartureOfAnEarlierLifeHoldsOnlyUntilTheNextReport(t *testing.T) {
+	g := NewWithT(t)
+	r := New("measures")
+	r.Adopt(start, "a", "10.0.0.1:80", 6)
+	r.MarkDeparted(Incarnation{ID: "a", StartedMs: bornBefore - 1000})
+	server, _ := r.Current()
+	g.Expect(server.Leaving).To(BeTrue(), "it may be the adopted one")
+	g.Expect(server.LeftAs).To(Equal(Incarnation{ID: "a", StartedMs: bornBefore - 1000}))
+	r.Heartbeat(start, report("a", bornBefore, 1))
+	server, _ = r.Current()
+	g.Expect(server.Leaving).To(BeFalse())
+}
+
+func TestRepeatedDeparturesTakeOnePlace(t *testing.T) {
+	g := NewWithT(t)
+	var list []Incarnation
+	for _, departed := range []Incarnation{{ID: "b", StartedMs: 1}, {ID: "a", StartedByMs: 5}, {ID: "a", StartedMs: 3}, {ID: "a", StartedByMs: 6}, {ID: "b", StartedMs: 1}} {
+		list = AddDeparture(list, departed)
+	}
+	g.Expect(list).To(Equal([]Incarnation{{ID: "b", StartedMs: 1}, {ID: "a", StartedMs: 3}, {ID: "a", StartedByMs: 6}}))
+}
--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -168,7 +168,7 @@
 	if slices.Contains(k.recorded, departed) {
 		return nil
 	}
-	next := append(slices.Clone(k.recorded), departed)
+	next := registration.AddDeparture(slices.Clone(k.recorded), departed)
 	next = next[max(len(next)-recordedDepartures, 0):]
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -385,7 +385,7 @@
 	if !known {
 		h.order = append(h.order, held.Node)
 	}
-	list = append(list, held.Departed)
+	list = registration.AddDeparture(list, held.Departed)
 	h.byNode[held.Node] = list[max(len(list)-recordedDepartures, 0):]
 	if len(h.order) > maxHeldNodes {
 		delete(h.byNode, h.order[0])
--- a/internal/sidecar/departurekeeper_test.go
+++ b/internal/sidecar/departurekeeper_test.go
@@ -191,3 +191,34 @@
 	keeper.askHolders(ctx)
 	g.Expect(unconfirmed()).To(BeFalse())
 }
+
+// Guards against a departure without a start time that loses the time by which its server had started on the way: in
+// a hop, at the nodes that hold it, or in the row. It would then stand for no incarnation.
+func TestADepartureWithoutAStartTimeKeepsItsBound(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	departed := registration.Incarnation{ID: "by;s", StartedByMs: 7}
+	for _, incarnation := range []registration.Incarnation{departed, {ID: "s", StartedMs: 7}, {ID: "s"}} {
+		g.Expect(decodeIncarnation(encodeIncarnation(incarnation))).To(HaveValue(Equal(incarnation)))
+	}
+	for _, invalid := range []string{"", "by", "by;s", "by7", "7", "x;s"} {
+		g.Expect(decodeIncarnation(invalid)).To(BeNil(), invalid)
+	}
+
+	f := newKeeperFleet(t)
+	row, lost := &rowStore{}, &rowStore{down: true}
+	for node := 2; node <= 3; node++ {
+		f.start(node, 3, true, &rowStore{})
+	}
+	for _, store := range []*rowStore{row, lost} {
+		keeper, _ := f.start(1, 3, true, store)
+		g.Expect(keeper.saveAndWait(ctx, departed)).To(BeTrue())
+	}
+	g.Eventually(func() string { row.mu.Lock(); defer row.mu.Unlock(); return string(row.row.Value) }).Should(ContainSubstring(`"born_by":7`))
+	fromRow, control := f.start(1, 1, false, row)
+	g.Expect(fromRow.restoreRow(ctx)).To(BeTrue())
+	g.Expect(hasLeft(control, departed)).To(BeTrue())
+	fromHolders, control := f.start(1, 3, false, &rowStore{})
+	fromHolders.askHolders(ctx)
+	g.Expect(hasLeft(control, departed)).To(BeTrue())
+}
--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -49,17 +49,27 @@
 	}
 }
 
-// encodeIncarnation returns the header value of an incarnation.
+// encodeIncarnation returns the header value of an incarnation: its start time, or "by" and the time by which it had
+// started, and its ID.
 func encodeIncarnation(i registration.Incarnation) string {
+	if i.StartedMs == 0 && i.StartedByMs != 0 {
+		return startedBy + strconv.FormatInt(i.StartedByMs, 10) + ";" + i.ID
+	}
 	return strconv.FormatInt(i.StartedMs, 10) + ";" + i.ID
 }
 
+const startedBy = "by"
+
 // decodeIncarnation returns nil for an empty or invalid header value.
 func decodeIncarnation(text string) *registration.Incarnation {
 	started, id, found := strings.Cut(text, ";")
+	started, isBound := strings.CutPrefix(started, startedBy)
 	ms, err := strconv.ParseInt(started, 10, 64)
 	if !found || err != nil || id == "" {
 		return nil
 	}
+	if isBound {
+		return &registration.Incarnation{ID: id, StartedByMs: ms}
+	}
 	return &registration.Incarnation{ID: id, StartedMs: ms}
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -109,9 +109,9 @@
 
 func (h *host) admit(ctx context.Context, r *hopRequest) *hopReply {
 	view := h.control.View()
-	if r.departed != nil && view.Server.Incarnation == *r.departed && !view.Server.Leaving {
+	if r.departed != nil && view.Server.Matches(*r.departed) && !view.Server.Leaving {
 		h.log.Info("server announced its departure earlier", zap.String("server", view.Server.ID), zap.String("request", r.id))
-		h.onLeaving(view.Server.Incarnation)
+		h.onLeaving(*r.departed)
 		return refuse(gate.Closed, 0)
 	}
 	if !view.accepts(time.Now(), time.Until(r.arrived.Add(r.remaining))) || view.Server.ID == "" || view.Server.Leaving || view.Server.Unconfirmed {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -230,7 +230,7 @@
 			zap.Bool("leaving", after.Server.Leaving), zap.Int("slots", after.Server.Slots))
 	}
 	if after.Server.Leaving && (fresh || !before.Server.Leaving) {
-		n.departures.save(n.lifetime, after.Server.Incarnation)
+		n.departures.save(n.lifetime, after.Server.LeftAs)
 	}
 }
 
@@ -319,10 +319,11 @@
 	ctx, cancel := context.WithTimeout(n.lifetime, registrationTimeout)
 	defer cancel()
 	var departed registration.Incarnation
-	if err := n.control.Do(ctx, func(s *state) { departed = s.registry.Deregister(id, born) }); err != nil {
+	if err := n.control.Do(ctx, func(s *state) { departed = s.registry.Deregister(time.Now(), id, born) }); err != nil {
 		n.log.Warn("deregistration not processed", zap.String("server", id), zap.Error(err))
 		return registration.Unsaved
 	}
+	n.log.Info("server deregistered", zap.String("server", id), zap.Int64("born", departed.StartedMs), zap.Int64("born_by", departed.StartedByMs))
 	return n.saveDeparture(departed)
 }
 
