--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -35,10 +35,6 @@
 	// departureAckWait is how long the acknowledgement of a departure waits until something outside
 	// the process holds it. The server waits a second for its acknowledgement.
 	departureAckWait = 800 * time.Millisecond
-	// askHoldersInterval is the pause between two rounds in which a started node asks the others for
-	// departures, and askHoldersTime the time after which it no longer waits for the rest.
-	askHoldersInterval = 100 * time.Millisecond
-	askHoldersTime     = 1500 * time.Millisecond
 )
 
 // departureKeeper makes the departures of the local server outlive the process: it writes them to the
@@ -52,7 +48,10 @@
 	log     *zap.Logger
 	// firstStart is set if no earlier process of the node has run.
 	firstStart bool
-	held       *heldDepartures
+	// heardWithin returns which nodes a report has been heard of lately; nil if the process has not received reports for
+	// that long.
+	heardWithin func(time.Duration) func(id string) bool
+	held        *heldDepartures
 
 	mu sync.Mutex
 	// saved holds a channel for each departure that is being saved or was; it is closed once
@@ -73,9 +72,9 @@
 	rowRead, holdersAsked atomic.Bool
 }
 
-func newDepartureKeeper(node string, firstStart bool, source Source, control *ControlLoop, calls *calls, log *zap.Logger) *departureKeeper {
+func newDepartureKeeper(node string, firstStart bool, source Source, control *ControlLoop, calls *calls, heardWithin func(time.Duration) func(id string) bool, log *zap.Logger) *departureKeeper {
 	k := &departureKeeper{
-		node: node, firstStart: firstStart, source: source, control: control, calls: calls, log: log,
+		node: node, firstStart: firstStart, source: source, control: control, calls: calls, heardWithin: heardWithin, log: log,
 		held: newHeldDepartures(), saved: map[registration.Incarnation]chan struct{}{},
 		// Before the first start, there is no row.
 		rowKnown: firstStart,
@@ -226,8 +225,9 @@
 		k.log.Warn("departures recorded by an earlier process are not known", zap.Error(err))
 		return false
 	}
-	if !k.rowRead.Swap(true) {
+	if !k.rowRead.Load() {
 		k.restore(recorded)
+		k.collected(&k.rowRead)
 	}
 	return true
 }
@@ -242,16 +242,21 @@
 // complete reports whether the departures that earlier processes acknowledged have been collected.
 func (k *departureKeeper) complete() bool { return k.rowRead.Load() && k.holdersAsked.Load() }
 
-// restore applies departures, and allows the use of the server once both sources have been asked.
+// restore applies departures that an earlier process acknowledged.
 func (k *departureKeeper) restore(departed []registration.Incarnation) {
-	complete := k.complete()
 	k.control.pending <- func(s *state) {
 		for _, incarnation := range departed {
 			s.registry.RestoreDeparture(incarnation)
 		}
-		if complete {
-			s.registry.DeparturesLoaded()
-		}
+	}
+}
+
+// collected notes that all departures of a source have been applied, and allows the use of the server once this is so
+// for both.
+func (k *departureKeeper) collected(source *atomic.Bool) {
+	source.Store(true)
+	if k.complete() {
+		k.control.pending <- func(s *state) { s.registry.DeparturesLoaded() }
 	}
 }
 
@@ -280,68 +285,6 @@
 	return false
 }
 
-// holders returns the nodes that hold the departures of this node, in random order: those of its data
-// centre, or all others if there are too few of them.
-func (k *departureKeeper) holders() []peer {
-	view := k.control.View()
-	peers := slices.Clone(view.localPeers)
-	if len(peers) < departureHolders {
-		for _, remote := range view.remotePeers {
-			peers = append(peers, remote...)
-		}
-	}
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers
-}
-
-// askHolders collects the departures that other nodes hold for this one. A node that does not answer
-// several calls has ended, and with it what it held, or is cut off, so an answer of half of the nodes is
-// enough. The node does not wait for them longer than askHoldersTime.
-func (k *departureKeeper) askHolders(ctx context.Context) {
-	if k.firstStart || k.holdersAsked.Load() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, askHoldersTime)
-	defer cancel()
-	missing := k.holders()
-	for allowed := len(missing) / 2; ; sleep(ctx, askHoldersInterval) {
-		missing = k.askRound(ctx, missing)
-		if len(missing) <= allowed || ctx.Err() != nil {
-			break
-		}
-	}
-	if len(missing) > 0 {
-		k.log.Info("departures held by other nodes", zap.Int("nodes_without_answer", len(missing)))
-	}
-	k.holdersAsked.Store(true)
-	k.restore(nil)
-}
-
-// askRound asks nodes at the same time and returns those that did not answer.
-func (k *departureKeeper) askRound(ctx context.Context, peers []peer) []peer {
-	var mu sync.Mutex
-	var missing []peer
-	var group sync.WaitGroup
-	for _, p := range peers {
-		group.Go(func() {
-			reply, err := k.calls.do(ctx, callHeldDepartures, p.addr, []byte(k.node))
-			departed, decodeErr := decodeDepartures(reply)
-			if err != nil || decodeErr != nil {
-				mu.Lock()
-				defer mu.Unlock()
-				missing = append(missing, p)
-				return
-			}
-			if len(departed) > 0 {
-				k.log.Info("departure held by another node", zap.String("holder", p.id), zap.Int("departures", len(departed)))
-				k.restore(departed)
-			}
-		})
-	}
-	group.Wait()
-	return missing
-}
-
 // heldDeparture is a departure that one node holds for another.
 type heldDeparture struct {
 	Node     string                   `json:"node"`
--- a/internal/sidecar/departurekeeper_test.go
+++ b/internal/sidecar/departurekeeper_test.go
@@ -62,10 +62,16 @@
 	calls map[netip.AddrPort]*calls
 	// cut nodes receive no datagrams.
 	cut map[netip.AddrPort]bool
+	// dataCentres are those of the nodes; "a" if a node is absent.
+	dataCentres map[int]string
+	// heard tells of which nodes reports have been heard; nil while that is unknown.
+	heard func(id string) bool
+	// used is set for the nodes that have had a server in use.
+	used map[int]bool
 }
 
 func newKeeperFleet(t *testing.T) *keeperFleet {
-	return &keeperFleet{t: t, calls: map[netip.AddrPort]*calls{}, cut: map[netip.AddrPort]bool{}}
+	return &keeperFleet{t: t, calls: map[netip.AddrPort]*calls{}, cut: map[netip.AddrPort]bool{}, dataCentres: map[int]string{}, used: map[int]bool{}}
 }
 
 func beaconAddr(node int) netip.AddrPort {
@@ -76,13 +82,16 @@
 func (f *keeperFleet) start(node, nodes int, firstStart bool, source Source) (*departureKeeper, *ControlLoop) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
-	member := func(node int) Member {
-		return Member{ID: fmt.Sprintf("n%d", node), Beacon: beaconAddr(node).String(), DataCentre: "a", Service: "measures"}
-	}
-	control := NewControlLoop(member(node), func(_, _ *View) {})
+	control := NewControlLoop(f.member(node), func(_, after *View) {
+		if s := after.Server; s.ID != "" && !s.Leaving && !s.Unconfirmed {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.used[node] = true
+		}
+	})
 	go control.Run(ctx)
 	addr := beaconAddr(node)
-	c := newCalls(member(node), zap.NewNop(), func(data []byte, to netip.AddrPort) error {
+	c := newCalls(f.member(node), zap.NewNop(), func(data []byte, to netip.AddrPort) error {
 		f.mu.Lock()
 		target := f.calls[to]
 		if f.cut[to] || f.cut[addr] {
@@ -94,18 +103,49 @@
 		}
 		return nil
 	})
-	keeper := newDepartureKeeper(member(node).ID, firstStart, source, control, c, zap.NewNop())
+	heardWithin := func(time.Duration) func(string) bool { return f.heard }
+	keeper := newDepartureKeeper(f.member(node).ID, firstStart, source, control, c, heardWithin, zap.NewNop())
 	f.mu.Lock()
 	f.calls[addr] = c
 	f.mu.Unlock()
-	changes := memberChanges{Revision: revisionOf(1), Complete: true}
+	f.setMembers(control, 1, nodes)
+	return keeper, control
+}
+
+func (f *keeperFleet) member(node int) Member {
+	dataCentre := f.dataCentres[node]
+	if dataCentre == "" {
+		dataCentre = "a"
+	}
+	return Member{ID: fmt.Sprintf("n%d", node), Beacon: beaconAddr(node).String(), DataCentre: dataCentre, Service: "measures"}
+}
+
+// setMembers tells a node of the nodes up to a number, by a read of the table at a version.
+func (f *keeperFleet) setMembers(control *ControlLoop, version uint64, nodes int) {
+	f.t.Helper()
+	changes := memberChanges{Revision: revisionOf(version), Complete: true}
 	for i := 1; i <= nodes; i++ {
-		changes.Rows = append(changes.Rows, memberRow{Member: member(i), Revision: revisionOf(1)})
+		changes.Rows = append(changes.Rows, memberRow{Member: f.member(i), Revision: revisionOf(version)})
 	}
-	if err := control.Do(ctx, func(s *state) { s.mergeMembers(changes) }); err != nil {
+	if err := control.Do(context.Background(), func(s *state) { s.mergeMembers(changes) }); err != nil {
 		f.t.Fatal(err)
 	}
-	return keeper, control
+}
+
+// setCut cuts nodes off, or ends that.
+func (f *keeperFleet) setCut(cut bool, nodes ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, node := range nodes {
+		f.cut[beaconAddr(node)] = cut
+	}
+}
+
+// wasUsed reports whether a node has had a server in use.
+func (f *keeperFleet) wasUsed(node int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.used[node]
 }
 
 func hasLeft(control *ControlLoop, incarnation registration.Incarnation) bool {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -146,7 +146,7 @@
 	n.beacons.log = n.log
 	n.beacons.calls = newCalls(self, n.log, n.beacons.sendCall)
 	n.status = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
-	n.departures = newDepartureKeeper(s.Node, s.FirstStart, deps.Source, n.control, n.beacons.calls, n.log)
+	n.departures = newDepartureKeeper(s.Node, s.FirstStart, deps.Source, n.control, n.beacons.calls, n.beacons.heardWithin, n.log)
 	n.departures.held.onHold = n.entry.departures.record
 	n.syncer.departures = n.departures
 	n.entry.quotas = newQuotas(n.lifetime, s, n.control, n.beacons.calls, n.log, deps.Telemetry.Metrics, n.bootTime, n.beacons.heardWithin)
