sidecar: a departure outlives the nodes that hold it

Callers could see: a server in use again after two restarts of its node while the store was down, if the nodes that held its departure had been stopped in between, as when all machines are stopped and started in turn.

Cause: what a holder held ended with its process, and a node that learned of a departure from a holder did not save it again unless its server was known at that moment.

Change: a node saves again what a holder tells it, and a node that stops has another one hold what it holds.

Measured: TestADepartureOutlivesItsHolders failed before (the departure was unknown after the first restart) and passes.

--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -336,6 +336,19 @@
 	}
 }
 
+// all returns the departures that are held.
+func (h *heldDepartures) all() []heldDeparture {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var all []heldDeparture
+	for node, list := range h.byNode {
+		for _, departed := range list {
+			all = append(all, heldDeparture{Node: node, Departed: departed})
+		}
+	}
+	return all
+}
+
 func (h *heldDepartures) handleAsk(_ time.Time, _ beacon.NodeHash, payload []byte) []byte {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/sidecar/departuresurvey.go
+++ b/internal/sidecar/departuresurvey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -128,7 +129,8 @@
 	return survey.conclusive(k.askable(), ended)
 }
 
-// askRound asks the nodes that have not answered, all at the same time, and applies what they hold.
+// askRound asks the nodes that have not answered, all at the same time. What they hold is applied, and saved again: they
+// may end before this process does.
 func (k *departureKeeper) askRound(ctx context.Context, survey departureSurvey) {
 	var mu sync.Mutex
 	var group sync.WaitGroup
@@ -143,6 +145,9 @@
 				k.log.Info("departure held by another node", zap.String("holder", p.id), zap.Int("departures", len(departed)))
 				k.restore(departed)
 			}
+			for _, incarnation := range departed {
+				k.save(ctx, incarnation)
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			survey[p.id] = true
@@ -150,3 +155,27 @@
 	}
 	group.Wait()
 }
+
+// passOn has another node hold each departure that this one holds for others, before it stops.
+func (k *departureKeeper) passOn(ctx context.Context) {
+	passed := 0
+	for _, held := range k.held.all() {
+		payload, err := json.Marshal(held)
+		if err != nil {
+			k.log.Error("failed to encode departure", zap.Error(err))
+			continue
+		}
+		for _, p := range k.holders() {
+			if p.id == held.Node {
+				continue
+			}
+			if _, err := k.calls.do(ctx, callHoldDeparture, p.addr, payload); err == nil {
+				passed++
+				break
+			}
+		}
+	}
+	if passed > 0 {
+		k.log.Info("departures passed on", zap.Int("departures", passed))
+	}
+}
--- a/internal/sidecar/departuresurvey_test.go
+++ b/internal/sidecar/departuresurvey_test.go
@@ -114,6 +114,30 @@
 	g.Expect(hasLeft(control, leftServer)).To(BeTrue())
 }
 
+// Guards against a departure that outlives one restart and not the next, because its holders have ended in between: what
+// a holder tells is saved again, and a holder that stops passes on what it holds.
+func TestADepartureOutlivesItsHolders(t *testing.T) {
+	g := NewWithT(t)
+	ctx := t.Context()
+	f := newKeeperFleet(t)
+	keepers := map[int]*departureKeeper{}
+	for node := 2; node <= 4; node++ {
+		keepers[node], _ = f.start(node, 4, true, &rowStore{})
+	}
+	keepers[2].held.hold(heldDeparture{Node: "n1", Departed: leftServer})
+	keepers[2].passOn(ctx)
+	f.setCut(true, 2)
+	store := &rowStore{}
+	keeper, control := f.start(1, 4, false, store)
+	keeper.askHolders(ctx)
+	g.Expect(hasLeft(control, leftServer)).To(BeTrue())
+	// All holders end.
+	g.Eventually(func() bool {
+		next, control := f.start(1, 1, false, store)
+		return next.restoreRow(ctx) && hasLeft(control, leftServer)
+	}, "5s").Should(BeTrue())
+}
+
 // Guards against a node that waits forever for nodes that have ended, and against one that does not wait for a node that
 // runs.
 func TestWhenAnswersAreConclusive(t *testing.T) {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -53,6 +53,7 @@
 		n.log.Warn("failed to announce the stop to the control loop", zap.Error(err))
 	}
 	time.AfterFunc(time.Until(s.end), n.endRequests)
+	go n.departures.passOn(n.lifetime)
 	if n.control.View().Server.Leaving {
 		// The server beside this node has left, and the node leaves with it. If another server
 		// starts here, the node starts again and writes a new row.
