sidecar: a node confirms that it holds a departure

Callers could see: a server in use again after a restart of its node although its departure was acknowledged, if the nodes that were asked to hold it could not read the call, as those of another version.

Cause: any reply counted as held, and a call that cannot be read is replied to with nothing.

Change: a node that holds a departure says so.

Measured: TestAnUnreadableCallHoldsNoDeparture passes; before, handOver took every reply without an error, by reading.

--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -272,7 +272,7 @@
 		holders := 0
 		peers := k.holders()
 		for _, p := range peers {
-			if _, err := k.calls.do(ctx, callHoldDeparture, p.addr, payload); err == nil {
+			if k.askToHold(ctx, p, payload) {
 				holders++
 			}
 			if holders >= min(departureHolders, len(peers)) {
@@ -285,6 +285,15 @@
 	return false
 }
 
+// askToHold asks a node to hold a departure, and reports whether it does.
+func (k *departureKeeper) askToHold(ctx context.Context, p peer, payload []byte) bool {
+	reply, err := k.calls.do(ctx, callHoldDeparture, p.addr, payload)
+	return err == nil && string(reply) == replyHeld
+}
+
+// replyHeld is the reply of a node that holds a departure. A node that cannot read the call replies with nothing.
+const replyHeld = "held"
+
 // heldDeparture is a departure that one node holds for another.
 type heldDeparture struct {
 	Node     string                   `json:"node"`
@@ -315,7 +324,7 @@
 	}
 	h.hold(held)
 	h.onHold(held.Node, held.Departed)
-	return nil
+	return []byte(replyHeld)
 }
 
 func (h *heldDepartures) hold(held heldDeparture) {
--- a/internal/sidecar/departurekeeper_test.go
+++ b/internal/sidecar/departurekeeper_test.go
@@ -262,3 +262,13 @@
 	fromHolders.askHolders(ctx)
 	g.Expect(hasLeft(control, departed)).To(BeTrue())
 }
+
+// Guards against a departure that counts as held by a node that could not read the call.
+func TestAnUnreadableCallHoldsNoDeparture(t *testing.T) {
+	g := NewWithT(t)
+	f := newKeeperFleet(t)
+	f.start(2, 2, true, &rowStore{})
+	keeper, _ := f.start(1, 2, true, &rowStore{})
+	g.Expect(keeper.askToHold(t.Context(), keeper.holders()[0], []byte("no departure"))).To(BeFalse())
+	g.Expect(keeper.askToHold(t.Context(), keeper.holders()[0], []byte(`{"node":"n1","departed":{"id":"s","born":7}}`))).To(BeTrue())
+}
--- a/internal/sidecar/departuresurvey.go
+++ b/internal/sidecar/departuresurvey.go
@@ -169,7 +169,7 @@
 			if p.id == held.Node {
 				continue
 			}
-			if _, err := k.calls.do(ctx, callHoldDeparture, p.addr, payload); err == nil {
+			if k.askToHold(ctx, p, payload) {
 				passed++
 				break
 			}
