sidecar: the acknowledgement of a departure waits for a store that answers

Cause: the acknowledgement came with the first of the store and two other nodes. The nodes are faster, and what they hold ends with them.

Change: for up to 0.5 s only the store counts, unless it refuses; then the other nodes do, as before.

Measured: TestAnAcknowledgementWaitsForAStoreThatAnswers failed before (nothing in the row when the acknowledgement was given) and passes, also with a store that refuses or does not answer: acknowledged within a second.

--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -35,6 +35,9 @@
 	// departureAckWait is how long the acknowledgement of a departure waits until something outside
 	// the process holds it. The server waits a second for its acknowledgement.
 	departureAckWait = 800 * time.Millisecond
+	// storeAckWait is the part of it in which only the store counts, unless the store refuses: what other nodes hold is
+	// gone if all processes end.
+	storeAckWait = 500 * time.Millisecond
 )
 
 // departureKeeper makes the departures of the local server outlive the process: it writes them to the
@@ -54,9 +57,8 @@
 	held        *heldDepartures
 
 	mu sync.Mutex
-	// saved holds a channel for each departure that is being saved or was; it is closed once
-	// something outside the process has the departure.
-	saved map[registration.Incarnation]chan struct{}
+	// saved holds the departures that are being saved or were.
+	saved map[registration.Incarnation]*departureSave
 	// departed lists the departures that were saved, oldest first.
 	departed []registration.Incarnation
 
@@ -75,7 +77,7 @@
 func newDepartureKeeper(node string, firstStart bool, source Source, control *ControlLoop, calls *calls, heardWithin func(time.Duration) func(id string) bool, log *zap.Logger) *departureKeeper {
 	k := &departureKeeper{
 		node: node, firstStart: firstStart, source: source, control: control, calls: calls, heardWithin: heardWithin, log: log,
-		held: newHeldDepartures(), saved: map[registration.Incarnation]chan struct{}{},
+		held: newHeldDepartures(), saved: map[registration.Incarnation]*departureSave{},
 		// Before the first start, there is no row.
 		rowKnown: firstStart,
 	}
@@ -84,51 +86,67 @@
 	return k
 }
 
-// save begins to save a departure, unless it has begun already. The channel is closed once something
-// outside the process has the departure.
-func (k *departureKeeper) save(ctx context.Context, departed registration.Incarnation) <-chan struct{} {
+// departureSave tells how far a departure has been saved. Its channels are closed once the store has it, the store has
+// refused it for the first time, and other nodes hold it.
+type departureSave struct {
+	stored, refused, held chan struct{}
+}
+
+// save begins to save a departure, unless it has begun already.
+func (k *departureKeeper) save(ctx context.Context, departed registration.Incarnation) *departureSave {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if done, ok := k.saved[departed]; ok {
-		return done
+	if known, ok := k.saved[departed]; ok {
+		return known
 	}
-	done := make(chan struct{})
-	finish := sync.OnceFunc(func() { close(done) })
-	k.saved[departed] = done
+	s := &departureSave{stored: make(chan struct{}), refused: make(chan struct{}), held: make(chan struct{})}
+	k.saved[departed] = s
 	k.departed = append(k.departed, departed)
 	go func() {
-		if k.record(ctx, departed) {
-			finish()
+		if k.record(ctx, departed, sync.OnceFunc(func() { close(s.refused) })) {
+			close(s.stored)
 		}
 	}()
 	go func() {
 		if k.handOver(ctx, departed) {
-			finish()
+			close(s.held)
 		}
 	}()
-	return done
+	return s
 }
 
 // saveAndWait saves a departure and reports whether something outside the process has it within
-// departureAckWait. Saving goes on until ctx ends.
+// departureAckWait: the store, or other nodes if the store refuses or does not answer. Saving goes on until ctx ends.
 func (k *departureKeeper) saveAndWait(ctx context.Context, departed registration.Incarnation) bool {
+	s := k.save(ctx, departed)
+	deadline := time.After(departureAckWait)
+	select {
+	case <-s.stored:
+		return true
+	case <-s.refused:
+	case <-time.After(storeAckWait):
+	}
 	select {
-	case <-k.save(ctx, departed):
+	case <-s.stored:
+		return true
+	case <-s.held:
 		return true
-	case <-time.After(departureAckWait):
+	case <-deadline:
 		k.log.Warn("departure not acknowledged", zap.String("server", departed.ID))
 		return false
 	}
 }
 
-// record adds a departure to the node's row and retries until that succeeds or ctx ends.
-func (k *departureKeeper) record(ctx context.Context, departed registration.Incarnation) bool {
+// record adds a departure to the node's row and retries until that succeeds or ctx ends. It calls onFailure after each
+// failure.
+func (k *departureKeeper) record(ctx context.Context, departed registration.Incarnation, onFailure func()) bool {
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := k.addToRow(ctx, departed)
 		if err == nil {
 			return true
 		}
+		onFailure()
 		k.log.Warn("departure not recorded", zap.String("server", departed.ID), zap.Error(err))
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
@@ -150,7 +168,7 @@
 		k.log.Info("departures recorded again", zap.Int("departures", len(departed)))
 	}
 	for _, incarnation := range departed {
-		k.record(ctx, incarnation)
+		k.record(ctx, incarnation, func() {})
 	}
 }
 
--- a/internal/sidecar/departurekeeper_test.go
+++ b/internal/sidecar/departurekeeper_test.go
@@ -21,6 +21,8 @@
 	mu   sync.Mutex
 	row  platform.Row
 	down bool
+	// delay is the time that a write takes.
+	delay time.Duration
 }
 
 func (s *rowStore) setDown(down bool) {
@@ -42,6 +44,7 @@
 }
 
 func (s *rowStore) Transact(_ context.Context, _ string, checks []platform.Check, writes []platform.Write) error {
+	time.Sleep(s.delay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -263,6 +266,31 @@
 	g.Expect(hasLeft(control, departed)).To(BeTrue())
 }
 
+// Guards against an acknowledged departure that is lost because all processes end right after the acknowledgement: nodes
+// that hold it answer sooner than the store.
+func TestAnAcknowledgementWaitsForAStoreThatAnswers(t *testing.T) {
+	g := NewWithT(t)
+	ctx := t.Context()
+	f := newKeeperFleet(t)
+	for node := 2; node <= 4; node++ {
+		f.start(node, 4, true, &rowStore{})
+	}
+	departed := registration.Incarnation{ID: "s", StartedMs: 7}
+	slow := &rowStore{delay: 100 * time.Millisecond}
+	keeper, _ := f.start(1, 4, true, slow)
+	g.Expect(keeper.saveAndWait(ctx, departed)).To(BeTrue())
+	slow.mu.Lock()
+	g.Expect(string(slow.row.Value)).To(ContainSubstring(`"born":7`))
+	slow.mu.Unlock()
+
+	for name, store := range map[string]*rowStore{"refuses": {down: true}, "does not answer": {delay: time.Minute}} {
+		keeper, _ = f.start(1, 4, true, store)
+		started := time.Now()
+		g.Expect(keeper.saveAndWait(ctx, departed)).To(BeTrue(), name)
+		g.Expect(time.Since(started)).To(BeNumerically("<", time.Second), "the server waits a second; the store %s", name)
+	}
+}
+
 // Guards against a departure that counts as held by a node that could not read the call.
 func TestAnUnreadableCallHoldsNoDeparture(t *testing.T) {
 	g := NewWithT(t)
