host: a refusal is believed for the request that it names only

Cause: the node looked for the header that states "not run" before it compared the request ID, and used the connection again after a response to another request.

Change: the ID comes first; after another ID the connection is closed. The stand-in server names the request in refusals.

Measured: TestAnEarlierRefusalIsNotBelieved failed before (code 1016, not run, where 2004, unknown, is due) and passes, also under the race detector.

--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -146,20 +146,20 @@
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
-		s.reject(w, "the request body is incomplete or too large")
+		s.reject(w, r, "the request body is incomplete or too large")
 		return
 	}
 	// Measurements call the server directly and send no incarnation.
 	incarnation := r.Header.Get(api.HeaderServerIncarnation)
 	if incarnation != "" && incarnation != strconv.FormatUint(s.incarnation, 10) {
-		s.reject(w, "the request is addressed to another incarnation of this server")
+		s.reject(w, r, "the request is addressed to another incarnation of this server")
 		return
 	}
 	select {
 	case s.slotsInUse <- struct{}{}:
 		defer func() { <-s.slotsInUse }()
 	default:
-		s.reject(w, "no free slot")
+		s.reject(w, r, "no free slot")
 		return
 	}
 	s.running.Add(1)
@@ -168,7 +168,8 @@
 }
 
 // reject responds with status 503 and the header which states that no part of the request has run.
-func (s *Server) reject(w http.ResponseWriter, reason string) {
+func (s *Server) reject(w http.ResponseWriter, r *http.Request, reason string) {
+	w.Header().Set(api.HeaderRequestID, r.Header.Get(api.HeaderRequestID))
 	w.Header().Set(api.HeaderNotRun, "1")
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -109,10 +110,10 @@
 }
 
 func (h *Host) send(ctx context.Context, server *attachedServer, r *forward.Request) *forward.Reply {
-	connected := false
+	var conn net.Conn
 	written := make(chan error, 1)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { connected = true },
+		GotConn:      func(info httptrace.GotConnInfo) { conn = info.Conn },
 		WroteRequest: func(info httptrace.WroteRequestInfo) { written <- info.Err },
 	})
 	request, err := serverRequest(ctx, server, r)
@@ -121,7 +122,11 @@
 	}
 	response, err := h.client.Do(request)
 	if err != nil {
-		return sendErrorReply(ctx, err, connected)
+		return sendErrorReply(ctx, err, conn != nil)
+	}
+	if response.Header.Get(api.HeaderRequestID) != r.ID {
+		// The response to this request may be still to come on the connection.
+		conn.Close()
 	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		response.Body = &unframedBody{ReadCloser: response.Body, ctx: ctx, written: written}
@@ -200,15 +205,16 @@
 		response.Body.Close()
 		return forward.ErrorReply(codes.AnswerLost.New("the response of the backend server has the invalid status %03d", response.StatusCode))
 	}
-	if response.Header.Get(api.HeaderNotRun) == "1" {
-		response.Body.Close()
-		return forward.ErrorReply(codes.ServerShed.New("the backend server shed the request"))
-	}
+	// Before the header that states that the request has not run: a server may send an earlier refusal again.
 	if response.Header.Get(api.HeaderRequestID) != r.ID {
 		response.Body.Close()
 		h.options.Telemetry.Metrics.WrongAnswers.Inc()
 		return forward.ErrorReply(codes.WrongAnswer.New("the response of the backend server does not carry the ID of this request"))
 	}
+	if response.Header.Get(api.HeaderNotRun) == "1" {
+		response.Body.Close()
+		return forward.ErrorReply(codes.ServerShed.New("the backend server shed the request"))
+	}
 	length := response.ContentLength
 	if r.Method == http.MethodHead {
 		length = 0
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -219,3 +220,61 @@
 		t.Fatalf("got %+v after %d arrivals", reply, f.arrivals.Load())
 	}
 }
+
+// Guards against an earlier refusal that a faulty server writes once more on a kept connection: believed, it would tell
+// the caller that a request which the server runs has not run, and send it to a second server. The
+// connection must not be used again, since the own response of the request is still to come on it.
+func TestAnEarlierRefusalIsNotBelieved(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\n" + api.HeaderRequestID + ": %s\r\n" + api.HeaderNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+	var mu sync.Mutex
+	refused := ""
+	var late net.Conn
+	f := newFixture(t, func(conn net.Conn, id string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case refused == "":
+			refused = id
+			fmt.Fprintf(conn, refusal, id)
+		case late == nil:
+			late = conn
+			fmt.Fprintf(conn, refusal, refused)
+		case conn == late:
+			// The response to the request before.
+			writeResponse(conn, "2")
+		default:
+			writeResponse(conn, id)
+		}
+		return true
+	})
+	code := func(id string) int {
+		reply := f.host.Serve(context.Background(), request(id, http.MethodPost, false))
+		if reply.Err == nil {
+			return 0
+		}
+		return reply.Err.Code.Number
+	}
+	for i, want := range []int{codes.ServerShed.Number, codes.WrongAnswer.Number, 0} {
+		if got := code(fmt.Sprint(i + 1)); got != want {
+			t.Fatalf("request %d: got code %d, want %d", i+1, got, want)
+		}
+	}
+}
+
+// Guards against a response whose head breaks off and that counts as complete, with an empty body. Other operators
+// have reported it.
+func TestAHeadThatBreaksOffIsAnError(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\n" + api.HeaderRequestID + ": 1\r\nContent-Length: 0\r\nX: y\r\n\r\n"
+	var cut atomic.Int64
+	f := newFixture(t, func(conn net.Conn, _ string) bool {
+		fmt.Fprint(conn, whole[:cut.Load()])
+		return false
+	})
+	for n := range len(whole) {
+		cut.Store(int64(n))
+		reply := f.host.Serve(context.Background(), request("1", http.MethodPost, false))
+		if reply.Err == nil || reply.Err.Code.Number != codes.AnswerLost.Number {
+			t.Errorf("cut after %q: got %+v", whole[:n], reply)
+		}
+	}
+}
