sidecar: a success without the server's signature is a lost answer

Cause: nothing looked at the signature.

Change: the node beside the server takes such a success for a lost answer: another server if the request may run again, 502 otherwise. Nothing in its head is believed, so that a spoiled rate limit is not lifted.

--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -222,6 +222,9 @@
 	h.telemetry.Metrics.Dispatches.Inc()
 	started := time.Now()
 	response, err := h.pool.Do(ctx, h.addr, h.newServerRequest(server, r))
+	if err == nil && isSuccess(response.Status) && !h.headers.Signed(response.Header) {
+		err = errUnsigned
+	}
 	stall.Stop()
 	ended := time.Now()
 	h.telemetry.Metrics.ServerTime.Record(ended.Sub(started))
@@ -249,6 +252,15 @@
 	return &hopReply{response: response, departed: departed}
 }
 
+// errUnsigned reports a success without the server's signature. Its head is not as the server meant it, so nothing in it is
+// believed, except that the request has run.
+var errUnsigned = errors.New("the response is a success without the signature of the server")
+
+// isSuccess reports whether a status means success.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 func (h *host) newServerRequest(server registration.Server, r *hopRequest) *httpconn.Request {
 	header := http.Header{}
 	forward.CopyEndToEnd(header, r.header)
