--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,3 +87,71 @@
 		}
 	})
 }
+
+// silenceableConn is a connection that can go silent for good, without a reset: what is written is lost, and nothing
+// arrives any more.
+type silenceableConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (c silenceableConn) Write(data []byte) (int, error) {
+	if c.silent.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+func (c silenceableConn) Read(data []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(data)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Guards against hops that wait until their deadline, again and again, on an open connection between two nodes that has
+// gone silent while new ones work: only a time limit of the node shows it. Without acknowledgements the kernel ends such a
+// connection after peerUserTimeout; here something still acknowledges, so that the ping has to.
+func TestAHopOnASilentConnectionIsGivenUpAndTheNextOneSucceeds(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	defer server.Close()
+	var mu sync.Mutex
+	var latest *atomic.Bool
+	peers := newPeerClientWith(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		mu.Lock()
+		defer mu.Unlock()
+		latest = &atomic.Bool{}
+		return silenceableConn{conn, latest}, err
+	})
+	hop := func() *httpconn.Request {
+		return &httpconn.Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}}
+	}
+	addr := server.Listener.Addr().String()
+	_, err := peers.do(t.Context(), addr, hop())
+	g.Expect(err).NotTo(HaveOccurred())
+	mu.Lock()
+	latest.Store(true)
+	mu.Unlock()
+
+	// A hop with a permit ends sooner, and it is known that it has not run.
+	_, err = peers.doPermitted(t.Context(), addr, hop(), 0)
+	g.Expect(err).To(MatchError(errNotPermitted))
+
+	ctx, cancel := context.WithTimeout(t.Context(), 4*(peerPingAfter+peerPingTimeout))
+	defer cancel()
+	started := time.Now()
+	_, err = peers.do(ctx, addr, hop())
+	g.Expect(err).To(MatchError(httpconn.ErrOutcomeUnknown))
+	g.Expect(time.Since(started)).To(BeNumerically("<", 2*(peerPingAfter+peerPingTimeout)))
+	_, err = peers.do(ctx, addr, hop())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(runs.Load()).To(Equal(int64(2)), "nothing ran that was sent on the silent connection")
+}
