tarragon-sidecar: a SIGHUP does not end a process that is starting

Cause: the handler was installed after the settings were read and the logs were set up.

Change: it is installed first, and signals wait until the node runs.

--- a/cmd/tarragon-sidecar/main.go
+++ b/cmd/tarragon-sidecar/main.go
@@ -32,6 +32,9 @@
 // the peak of a node at the design size, no line is omitted.
 const logLinesPerSecond = 150
 
+// signalQueue is the number of signals that may wait while the process starts.
+const signalQueue = 4
+
 // options are the flags of the command.
 type options struct {
 	Config      string        `long:"config" description:"settings file (default: the path given by the platform)"`
@@ -59,6 +62,9 @@
 		fmt.Println(program, buildinfo.Version())
 		return
 	}
+	// Before anything that takes time: the default action of SIGHUP ends the process.
+	signals := make(chan os.Signal, signalQueue)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	if o.Config == "" {
 		o.Config = platform.SettingsPath()
 	}
@@ -76,14 +82,14 @@
 		fmt.Println("the settings are valid")
 		return
 	}
-	if err := run(config, o); err != nil {
+	if err := run(config, o, signals); err != nil {
 		fmt.Fprintln(os.Stderr, program+":", err)
 		os.Exit(cli.ExitFailure)
 	}
 }
 
 // run runs the node until SIGTERM or SIGINT.
-func run(config sidecar.Settings, o options) error {
+func run(config sidecar.Settings, o options, signals <-chan os.Signal) error {
 	out := telemetry.NewAsyncWriter(os.Stdout, logQueueLines)
 	defer out.Close()
 	t, err := telemetry.NewForProcess(context.Background(),
@@ -99,14 +105,12 @@
 		debug.SetMemoryLimit(limit)
 	}
 	node := sidecar.New(platform.NodeDependencies(config, platform.NewStore(config.StoreAddr), t))
-	return node.Run(stopSignal(t.Log, config, o.Config))
+	return node.Run(stopSignal(signals, t.Log, config, o.Config))
 }
 
 // stopSignal returns a channel that receives a value on the first SIGTERM or
 // SIGINT. On SIGHUP it checks the settings file for changes.
-func stopSignal(log *zap.Logger, config sidecar.Settings, path string) <-chan struct{} {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+func stopSignal(signals <-chan os.Signal, log *zap.Logger, config sidecar.Settings, path string) <-chan struct{} {
 	stop := make(chan struct{}, 1)
 	go func() {
 		for received := range signals {
