sidecar: a row that another process has changed is no refusal of the store

Cause: an acknowledgement stopped to wait for the store after any failure to write the row, also if only its version had changed, in which case the next try writes it.

Change: only other failures count as a refusal.

Measured: the tests of departures pass.

--- a/internal/sidecar/departurekeeper.go
+++ b/internal/sidecar/departurekeeper.go
@@ -137,16 +137,18 @@
 	}
 }
 
-// record adds a departure to the node's row and retries until that succeeds or ctx ends. It calls onFailure after each
-// failure.
-func (k *departureKeeper) record(ctx context.Context, departed registration.Incarnation, onFailure func()) bool {
+// record adds a departure to the node's row and retries until that succeeds or ctx ends. It calls onRefusal whenever the
+// store does not take the row, unless another process has changed the row.
+func (k *departureKeeper) record(ctx context.Context, departed registration.Incarnation, onRefusal func()) bool {
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := k.addToRow(ctx, departed)
 		if err == nil {
 			return true
 		}
-		onFailure()
+		if !errors.Is(err, platform.ErrConflict) {
+			onRefusal()
+		}
 		k.log.Warn("departure not recorded", zap.String("server", departed.ID), zap.Error(err))
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
