sidecar: a node without a report for one and a half intervals has ended

A node that runs sends a report every second and answers calls, of which it gets a dozen in that time.

--- a/internal/sidecar/departuresurvey.go
+++ b/internal/sidecar/departuresurvey.go
@@ -19,8 +19,8 @@
 	askInterval    = 100 * time.Millisecond
 	askMaxInterval = time.Second
 	// endedAfter is the time without a report of a node, which sends one every refreshInterval, after which the node counts
-	// as ended.
-	endedAfter = 2500 * time.Millisecond
+	// as ended if it does not answer either.
+	endedAfter = 3 * refreshInterval / 2
 	// askRemote is the number of nodes of other data centres that are asked. They may hold a departure of a time when the
 	// own data centre had too few nodes; more than departureHolders, because the order of nodes changes as some join.
 	askRemote = 2 * departureHolders
