--- a/review/_kit3/client.go
+++ b/review/cases3/client_test.go
@@ -1,4 +1,6 @@
-package main
+//go:build review3
+
+package cases3
 
 import (
 	"context"
--- a/review/_kit3/departures.go
+++ b/review/cases3/departures_test.go
@@ -1,4 +1,6 @@
-package main
+//go:build review3
+
+package cases3
 
 import (
 	"fmt"
@@ -32,8 +34,8 @@
 	}
 	c, done := newClients(r), make(chan struct{})
 	for _, n := range f.nodes {
-		c.stream(n, 250*time.Millisecond, http.MethodPost, "/book/", done)
-		c.stream(n, 500*time.Millisecond, http.MethodGet, "/slots/", done)
+		c.stream(n, 400*time.Millisecond, http.MethodPost, "/book/", done)
+		c.stream(n, time.Second, http.MethodGet, "/slots/", done)
 		c.stream(n, 500*time.Millisecond, http.MethodGet, "/look/", done)
 	}
 	return f, c, done, nil
@@ -131,7 +133,7 @@
 	if status != http.StatusOK {
 		return fmt.Errorf("the deregistration got %d", status)
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(time.Until(acked.Add(drainTime + 300*time.Millisecond)))
 	if r.trouble {
 		for _, late := range held {
 			s.deliver(late)
--- a/review/_kit3/fleet.go
+++ b/review/cases3/fleet_test.go
@@ -1,4 +1,6 @@
-package main
+//go:build review3
+
+package cases3
 
 import (
 	"encoding/json"
@@ -99,7 +101,7 @@
 	zones := []string{"colombo", "negombo", "kalutara"}
 	for i, service := range services {
 		n := &node{fleet: f, name: fmt.Sprintf("sidecar-%s-%d", zones[i%len(zones)], i), ip: fmt.Sprintf("127.0.83.%d", i+1), zone: zones[i%len(zones)], service: service, storeVia: f.storeAddr}
-		n.server = &server{r: r, node: n, service: service, slots: 6, work: 200 * time.Millisecond}
+		n.server = &server{r: r, node: n, service: service, slots: 6, work: 500 * time.Millisecond}
 		f.nodes = append(f.nodes, n)
 	}
 	return f, f.choosePort()
--- a/review/_kit3/main.go
+++ b/review/cases3/main_test.go
@@ -1,12 +1,13 @@
-// Command review-kit3 runs the scripted cases of review/REPORT-3.md: it starts the nodes of a small
-// deployment as separate processes beside stand-ins of the store, the servers and the clients.
-package main
+//go:build review3
+
+package cases3
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -50,9 +51,10 @@
 	r.broken = append(r.broken, text)
 }
 
-func main() {
+// TestMain runs one case instead of tests.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-kit3 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-3.test CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(play(cases[os.Args[1]], os.Args[2]))
--- a/review/_kit3/restart.go
+++ b/review/cases3/restart_test.go
@@ -1,4 +1,6 @@
-package main
+//go:build review3
+
+package cases3
 
 import (
 	"fmt"
@@ -60,7 +62,7 @@
 	}
 	inTouch := time.Now().Add(stableWindow)
 	r.note("%s is ready again", n.name)
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Until(inTouch.Add(200 * time.Millisecond)))
 	if r.trouble {
 		s.deliver(held)
 	}
--- a/review/_kit3/server.go
+++ b/review/cases3/server_test.go
@@ -1,4 +1,6 @@
-package main
+//go:build review3
+
+package cases3
 
 import (
 	"bytes"
@@ -30,8 +32,9 @@
 	born     int64
 	sequence int
 	running  int
-	silent   bool
-	runs     []serverRun
+	// silent is set while the server sends no check-ins, leaving once it has deregistered.
+	silent, leaving bool
+	runs            []serverRun
 }
 
 // serverRun is a request that a server began to work on.
@@ -49,7 +52,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addr, s.id, s.born, s.sequence, s.silent = listener.Addr().String(), id, time.Now().UnixMilli(), 0, false
+	s.addr, s.id, s.born, s.sequence = listener.Addr().String(), id, time.Now().UnixMilli(), 0
+	s.silent, s.leaving = false, false
 	s.http = &http.Server{Handler: s.handler(id, s.born)}
 	go s.http.Serve(listener)
 	s.r.note("server %s of %s starts, born %d", id, s.service, s.born)
@@ -72,12 +76,13 @@
 		h := w.Header()
 		h.Set("Request-Id", request)
 		h.Set("Keep-Alive", "timeout=10")
+		leaving := s.isLeaving()
+		if leaving {
+			h.Set("Server-Leaving", "1")
+		}
 		if r.URL.Path == healthPath {
 			h.Set("Instance-Id", id)
 			h.Set("Server-Load", fmt.Sprintf("%d,0,%d", s.inUse(), s.slots))
-			s.mu.Lock()
-			leaving := s.silent
-			s.mu.Unlock()
 			if leaving {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
@@ -108,6 +113,9 @@
 			s.r.note("run dropped %s at %s", request, id)
 			return
 		}
+		if s.isLeaving() {
+			h.Set("Server-Leaving", "1")
+		}
 		h.Set("Response-Signature", "sig."+request)
 		h.Set("Server-Load", fmt.Sprintf("%d,0,%d", s.inUse(), s.slots))
 		fmt.Fprintf(w, "answer to %s", request)
@@ -133,6 +141,12 @@
 	s.running--
 }
 
+func (s *server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 func (s *server) inUse() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -172,7 +186,7 @@
 // further check-ins.
 func (s *server) deregister() (int, time.Time) {
 	s.mu.Lock()
-	s.silent = true
+	s.silent, s.leaving = true, true
 	id, body := s.id, fmt.Sprintf(`{"born":%d}`, s.born)
 	s.mu.Unlock()
 	status := s.node.rpc("instances.deregister", id, body)
